--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test bench model lint generate clean
+
+$(STAMP): constraints.txt pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -e '.[dev]'
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m bench.demo
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+	$(BIN)/python -m bench.generate --check
+
+test: lint
+	$(BIN)/python -m pytest
+
+bench: $(STAMP)
+	$(BIN)/python -m bench.run $(SECTIONS)
+
+model: $(STAMP)
+	$(BIN)/python -m spec.check
+
+generate: $(STAMP)
+	$(BIN)/python -m bench.generate
+
+clean:
+	rm -rf $(VENV) results build *.egg-info
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load, judge and experiments used to measure dogwooddock."""
--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,91 @@
+"""The demo: a small Kalemtaş deployment through a surge, a slow service and a kill."""
+
+import asyncio
+import sys
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from .deployments import KALEMTAS
+from .fleet import Fleet
+from .judge import judge, print_table, refusal_order_violations
+from .load import Load, Result, RouterPolicy, plan_arrivals
+
+DURATION_S = 15.0
+SURGE_FACTOR = 5.0
+SEED = 7
+
+
+def surge(at: float) -> float:
+    """Return the load factor: a surge between the 3rd and the 6th second."""
+    return SURGE_FACTOR if 3.0 <= at < 6.0 else 1.0
+
+
+def _progress(elapsed: float, results: list[Result]) -> None:
+    done = [result for result in results if result.ended_at]
+    good = sum(1 for result in done if result.status == 200)
+    refused = sum(1 for result in done if result.outcome == "not-run")
+    print(
+        f"\r{elapsed:5.1f} s  sent {len(results):5d}  answered {good:5d}  "
+        f"not-run {refused:5d}",
+        end="",
+        file=sys.stderr,
+        flush=True,
+    )
+
+
+def run(folder: Path) -> int:
+    """Run the demo and return the exit status."""
+    with Fleet(KALEMTAS, folder, seed=SEED) as fleet:
+        print(f"{len(fleet.nodes)} nodes serve 4 pools; tables at version 1")
+        killed: list[str] = []
+        routers = fleet.routers()
+
+        def live_routers() -> list[str]:
+            return [address for address in routers if address not in killed]
+
+        def kill() -> None:
+            node = fleet.node("proofs-3")
+            killed.append(node.router)
+            node.process.kill()
+
+        actions = [
+            (7.0, lambda: fleet.hosts["proofs"].command(slow_factor=6.0)),
+            (9.5, lambda: fleet.hosts["proofs"].command(slow_factor=1.0)),
+            (
+                11.0,
+                lambda: fleet.hosts["jobs"].command(name="jobs-2", action="leave"),
+            ),
+            (12.0, kill),
+        ]
+        arrivals = plan_arrivals(KALEMTAS.traffic, DURATION_S, surge, SEED)
+        load = Load(KALEMTAS, live_routers, RouterPolicy(retries=1), SEED)
+        results = asyncio.run(load.run(arrivals, actions, _progress))
+        print(file=sys.stderr)
+        verdict = judge(KALEMTAS, results, fleet.executions())
+        order = refusal_order_violations(KALEMTAS, results)
+    print_table(verdict.rows)
+    refused = sum(
+        1
+        for result in results
+        if result.arrival.traffic.keyed
+        and result.outcome == "not-run"
+        and result.reason in ("overload", "displaced")
+    )
+    if refused:
+        verdict.violations.append(f"{refused} confirmations were refused for load")
+    if order:
+        verdict.violations.append(f"{order} refusals out of order of importance")
+    for violation in verdict.violations[:20]:
+        print(f"broken promise: {violation}")
+    print(f"promises broken: {len(verdict.violations)}")
+    return 1 if verdict.violations else 0
+
+
+def main() -> int:
+    """Run the demo in a temporary folder."""
+    with TemporaryDirectory(prefix="dogwooddock-demo-") as folder:
+        return run(Path(folder))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/deployments.py
@@ -0,0 +1,113 @@
+"""Shapes of the two deployments, scaled to one machine.
+
+Slots are a fifth of today's (jobdesk, firebook and tinstore a twentieth); a target
+spends its own time asleep, so capacity is slots over holding time and not the
+machine's speed.
+"""
+
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from .target_standin import Behaviour
+
+EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
+
+
+@dataclass(frozen=True)
+class Service:
+    """One pool's targets."""
+
+    pool: str
+    targets: int
+    slots: int
+    connections: int
+    speeds: tuple[float, ...] = (1.0,)
+
+
+@dataclass(frozen=True)
+class Traffic:
+    """One kind of request from routers."""
+
+    kind: str
+    caller: str
+    method: str
+    path: str
+    rate: float
+    importance: int
+    weight: float
+    keyed: bool = False
+
+
+@dataclass(frozen=True)
+class Deployment:
+    """A deployment to run on loopback."""
+
+    name: str
+    zones: tuple[str, ...]
+    services: tuple[Service, ...]
+    paths: dict[str, Behaviour]
+    traffic: tuple[Traffic, ...]
+    timeouts: dict[str, float] = field(default_factory=dict)
+
+    @property
+    def folder(self) -> Path:
+        """Return the folder with the checked-in tables."""
+        return EXAMPLES / f"{self.name}-small"
+
+    def hold_s(self, path: str) -> float:
+        """Return how long a request holds a slot at this path, deeper calls too."""
+        behaviour = self.paths[path]
+        own = behaviour.own_ms / 1000
+        return own + sum(self.hold_s(call) for call in behaviour.calls)
+
+
+KALEMTAS = Deployment(
+    name="kalemtas",
+    zones=("tr-west-a", "tr-west-b", "tr-west-c", "tr-west-d"),
+    services=(
+        Service("catalog", 4, 7, 60, (1.0, 1.0, 0.8, 1.2)),
+        Service("jobs", 4, 7, 60, (1.0, 1.0, 0.8, 1.2)),
+        Service("proofs", 4, 7, 60, (1.0, 1.0, 0.8, 1.2)),
+        Service("orders", 4, 2, 30, (1.0, 1.0, 0.8, 1.2)),
+    ),
+    paths={
+        "/catalog/browse": Behaviour(60, ["/jobs/status"]),
+        "/jobs/status": Behaviour(60, ["/proofs/check"]),
+        "/jobs/slots": Behaviour(30, ["/proofs/check"]),
+        "/proofs/check": Behaviour(40),
+        "/proofs/view": Behaviour(60),
+        "/orders/confirm": Behaviour(60, ["/jobs/slots"]),
+    },
+    traffic=(
+        Traffic("confirmation", "shops", "POST", "/orders/confirm", 6, 9, 20, True),
+        Traffic("proof", "shops", "GET", "/proofs/view", 25, 5, 3),
+        Traffic("browsing", "shops", "GET", "/catalog/browse", 55, 2, 1),
+    ),
+    timeouts={"confirmation": 3.0, "proof": 2.0, "browsing": 2.0},
+)
+
+AUTHORITY = Deployment(
+    name="authority",
+    zones=("ub-a", "ub-b", "ub-c"),
+    services=(
+        Service("jobdesk", 4, 6, 40, (1.0, 1.0, 0.8, 1.2)),
+        Service("firebook", 3, 4, 50, (1.0, 0.8, 1.2)),
+        Service("tinstore", 3, 8, 50, (1.0, 0.8, 1.2)),
+        Service("feebook", 3, 7, 60, (1.0, 0.8, 1.2)),
+    ),
+    paths={
+        "/jobdesk/status": Behaviour(50, ["/tinstore/stock"]),
+        "/tinstore/stock": Behaviour(50, ["/feebook/fees"]),
+        "/tinstore/reserve-check": Behaviour(40),
+        "/feebook/fees": Behaviour(50),
+        "/firebook/book": Behaviour(80, ["/tinstore/reserve-check"]),
+    },
+    traffic=(
+        Traffic("booking", "clerks", "POST", "/firebook/book", 8, 9, 20, True),
+        Traffic("lookup", "clerks", "GET", "/jobdesk/status", 50, 3, 1),
+        Traffic("stock", "clerks", "GET", "/tinstore/stock", 20, 2, 1),
+    ),
+    timeouts={"booking": 4.0, "lookup": 2.5, "stock": 2.5},
+)
+
+DEPLOYMENTS = {item.name: item for item in (KALEMTAS, AUTHORITY)}
--- /dev/null
+++ b/dogwooddock/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers: routers, and the local target when it calls deeper services."""
--- /dev/null
+++ b/dogwooddock/callers/server.py
@@ -0,0 +1,306 @@
+"""HTTP server for routers and for the local target's own calls."""
+
+__all__ = ["CallerServer", "ServerLimits"]
+
+import json
+import select
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from cheroot import errors as cheroot_errors
+from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
+
+from ..errors import InvalidRequest
+from ..headers import (
+    CALLER,
+    IDEMPOTENCY_KEY,
+    OUTCOME,
+    REASON,
+    TIMEOUT_MS,
+    TRACEPARENT,
+    end_to_end,
+    trace_id_of,
+)
+from ..policy.outcomes import Outcome, Reason
+from .ingress import Ingress
+from .messages import CallerReply, CallerRequest, problem_reply
+from .watcher import DepartureWatcher
+
+LINGER_S = 0.02
+STOP_TIMEOUT_S = 1
+READ_CHUNK_BYTES = 64 * 1024
+SERVICE_PREFIX = "/_dogwooddock/"
+DEFAULT_TICKET_COUNT = 16
+JSON_TYPE = ("Content-Type", "application/json")
+
+TargetControl = Callable[[str, dict[str, Any]], int]
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """Bounds of a caller-facing server.
+
+    Args:
+        threads: Requests served at once.
+        max_body_bytes: Largest accepted body.
+        idle_timeout_s: Longest silence of a sender, in seconds.
+    """
+
+    threads: int
+    max_body_bytes: int
+    idle_timeout_s: float
+
+
+class _Request(HTTPRequest):
+    def simple_response(self, status: Any, msg: str = "") -> None:
+        """Add the outcome to replies made by the HTTP library."""
+        code = str(status)[:3]
+        reason = Reason.TOO_LARGE if code in ("413", "414") else Reason.MALFORMED
+        head = (
+            f"{self.server.protocol} {status}\r\nContent-Length: {len(msg)}\r\n"
+            f"Content-Type: text/plain\r\nConnection: close\r\n"
+            f"{OUTCOME}: {Outcome.NOT_RUN}\r\n{REASON}: {reason}\r\n\r\n{msg}"
+        )
+        self.close_connection = True
+        try:
+            self.conn.wfile.write(head.encode("latin-1"))
+        except OSError as exc:
+            if exc.args[0] not in cheroot_errors.socket_errors_to_ignore:
+                raise
+
+
+class _Server(HTTPServer):
+    owner: "CallerServer"
+
+
+class _Connection(HTTPConnection):
+    RequestHandlerClass = _Request
+
+    def communicate(self) -> bool:
+        """Serve requests while more of them follow closely."""
+        while super().communicate():
+            if not self._more_soon():
+                return True
+        return False
+
+    def _more_soon(self) -> bool:
+        if self.rfile.has_data():
+            return True
+        if self.server.requests.idle <= 0:
+            return False
+        poll = select.poll()
+        poll.register(self.socket, select.POLLIN)
+        return bool(poll.poll(LINGER_S * 1000))
+
+
+class _Gateway(Gateway):
+    def respond(self) -> None:
+        """Answer one request."""
+        server = self.req.server.owner
+        try:
+            reply = server.dispatch(self.req)
+        except (InvalidRequest, ValueError, cheroot_errors.MaxSizeExceeded) as exc:
+            large = isinstance(exc, cheroot_errors.MaxSizeExceeded)
+            reason = Reason.TOO_LARGE if large else Reason.MALFORMED
+            self.req.close_connection = True
+            reply = problem_reply(Outcome.NOT_RUN, reason, server.ingress.parts.rng)
+        except TimeoutError:
+            self.req.close_connection = True
+            reply = problem_reply(
+                Outcome.NOT_RUN, Reason.MALFORMED, server.ingress.parts.rng
+            )
+        if server.closing:
+            self.req.close_connection = True
+        self._write(reply)
+
+    def _write(self, reply: CallerReply) -> None:
+        req = self.req
+        req.status = f"{reply.status} {_phrase(reply.status)}".encode("latin-1")
+        length = str(len(reply.body)).encode()
+        headers = [
+            (name.encode("latin-1"), value.encode("latin-1", "replace"))
+            for name, value in reply.headers
+            if name.lower() != "content-length"
+        ]
+        headers.append((b"Content-Length", length))
+        req.outheaders.extend(headers)
+        req.ensure_headers_sent()
+        if reply.body and req.method != b"HEAD":
+            req.write(reply.body)
+
+
+def _phrase(status: int) -> str:
+    return {200: "OK", 503: "Service Unavailable"}.get(status, "Status")
+
+
+class CallerServer:
+    """Serve callers over HTTP/1.1.
+
+    Args:
+        address: IP number and port to listen on; port 0 picks one.
+        ingress: Takes requests through the fleet.
+        limits: Bounds of the server.
+        watcher: Watches for callers that depart.
+        pool_name: For the local target's server, returns the name of its pool.
+        target_control: For the local target's server, handles its announcements.
+    """
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        ingress: Ingress,
+        limits: ServerLimits,
+        watcher: DepartureWatcher,
+        pool_name: Callable[[], str] | None = None,
+        target_control: TargetControl | None = None,
+    ):
+        self.ingress = ingress
+        self._watcher = watcher
+        self._pool_name = pool_name
+        self._target_control = target_control
+        self._limits = limits
+        self._closing = False
+        self._server = _Server(
+            address, _Gateway, minthreads=limits.threads, maxthreads=limits.threads
+        )
+        self._server.owner = self
+        self._server.ConnectionClass = _Connection
+        self._server.max_request_body_size = limits.max_body_bytes
+        self._server.timeout = limits.idle_timeout_s  # type: ignore[assignment]
+        self._server.request_queue_size = 1024
+        self._server.keep_alive_conn_limit = 4096
+        self._server.nodelay = True
+        self._server.prepare()
+        self.address: tuple[str, int] = self._server.bind_addr[:2]
+
+    def start(self) -> None:
+        """Serve in a background thread."""
+        threading.Thread(target=self._server.serve, daemon=True).start()
+
+    def begin_close(self) -> None:
+        """Go on serving, but close every connection after its next reply."""
+        self._closing = True
+
+    def stop(self) -> None:
+        """Close the listener and the remaining connections in the background."""
+        time.sleep(LINGER_S * 2)
+        self._server.shutdown_timeout = STOP_TIMEOUT_S
+        threading.Thread(target=self._server.stop, daemon=True).start()
+
+    @property
+    def closing(self) -> bool:
+        """Report whether connections are closed after their next reply."""
+        return self._closing
+
+    # Requests.
+
+    def dispatch(self, req: HTTPRequest) -> CallerReply:
+        """Turn an HTTP request into a reply."""
+        headers = {
+            name.decode("latin-1"): value.decode("latin-1")
+            for name, value in req.inheaders.items()
+        }
+        body = self._read_body(req)
+        path = req.uri.decode("latin-1")
+        if path.startswith("http://"):
+            path = "/" + path.split("/", 3)[3] if path.count("/") > 2 else "/"
+        method = req.method.decode("latin-1")
+        if path.startswith(SERVICE_PREFIX):
+            return self._service(method, path[len(SERVICE_PREFIX) :], headers, body)
+        return self._forward(req, method, path, headers, body)
+
+    def _forward(
+        self,
+        req: HTTPRequest,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+    ) -> CallerReply:
+        local = self._pool_name is not None
+        passed = [
+            pair
+            for pair in end_to_end(headers.items())
+            if pair[0] not in (TRACEPARENT, IDEMPOTENCY_KEY)
+        ]
+        token = object()
+        request = CallerRequest(
+            caller=self._caller(headers),
+            method=method,
+            path=path,
+            headers=passed,
+            body=body,
+            key=headers.get(IDEMPOTENCY_KEY, ""),
+            trace_id=trace_id_of(headers.get(TRACEPARENT, "")) if local else "",
+            timeout_ms=_timeout_ms(headers),
+            local=local,
+            on_start=lambda cancel: self._watcher.watch(token, req.conn.socket, cancel),
+        )
+        try:
+            return self.ingress.handle(request)
+        finally:
+            self._watcher.forget(token)
+
+    def _caller(self, headers: dict[str, str]) -> str:
+        if self._pool_name is not None:
+            return f"pool:{self._pool_name()}"
+        return headers.get(CALLER, "")
+
+    def _read_body(self, req: HTTPRequest) -> bytes:
+        declared = req.inheaders.get(b"Content-Length")
+        if declared is None and not req.chunked_read:
+            return b""
+        chunks = []
+        size = 0
+        while chunk := req.rfile.read(READ_CHUNK_BYTES):
+            size += len(chunk)
+            if size > self._limits.max_body_bytes:
+                raise cheroot_errors.MaxSizeExceeded
+            chunks.append(chunk)
+        if declared is not None and size < int(declared):
+            raise InvalidRequest("the body is shorter than Content-Length")
+        return b"".join(chunks)
+
+    # Tickets and announcements.
+
+    def _service(
+        self, method: str, name: str, headers: dict[str, str], body: bytes
+    ) -> CallerReply:
+        if name == "tickets" and method == "POST":
+            return self._issue(headers, body)
+        if name.startswith("tickets/") and method == "DELETE":
+            state = self.ingress.cancel_ticket(name[len("tickets/") :])
+            return _json_reply(200, {"state": state})
+        if name == "target" and self._target_control is not None:
+            document = json.loads(body) if body else {}
+            return _json_reply(self._target_control(method, document), {})
+        rng = self.ingress.parts.rng
+        return problem_reply(Outcome.NOT_RUN, Reason.NO_ROUTE, rng)
+
+    def _issue(self, headers: dict[str, str], body: bytes) -> CallerReply:
+        document = json.loads(body) if body else {}
+        if not isinstance(document, dict):
+            raise InvalidRequest("send a JSON object with method, path and count")
+        tickets = self.ingress.issue_tickets(
+            self._caller(headers),
+            str(document.get("method", "POST")),
+            str(document.get("path", "/")),
+            int(document.get("count", DEFAULT_TICKET_COUNT)),
+        )
+        return _json_reply(200 if tickets else 503, {"tickets": tickets})
+
+
+def _timeout_ms(headers: dict[str, str]) -> int:
+    text = headers.get(TIMEOUT_MS, "")
+    return int(text) if text.isdigit() else 0
+
+
+def _json_reply(status: int, document: dict[str, Any]) -> CallerReply:
+    outcome = Outcome.ANSWERED if status < 400 else Outcome.NOT_RUN
+    headers = [JSON_TYPE, (OUTCOME, str(outcome))]
+    return CallerReply(
+        outcome, Reason.NONE, status, headers, json.dumps(document).encode()
+    )
--- /dev/null
+++ b/dogwooddock/node.py
@@ -0,0 +1,412 @@
+"""The node: the one process that runs beside each target."""
+
+__all__ = ["Node"]
+
+import os
+import socket
+import threading
+import time
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import structlog
+
+from .callers.ingress import Ingress, IngressParts
+from .callers.keyed import KeyedRequests
+from .callers.server import CallerServer, ServerLimits
+from .callers.watcher import DepartureWatcher
+from .errors import PeerError
+from .operators.admin import AdminServer
+from .peers.client import PeerConnections
+from .peers.codec import from_wire_member
+from .peers.fleet import NodeFleet, PeerHandler
+from .peers.gossip import Gossip, GossipEvents
+from .peers.server import PeerServer
+from .platform.committer import KeyService
+from .platform.configstore import ConfigStore
+from .platform.configsync import ConfigHolder, ConfigSync
+from .platform.contacts import ContactRows
+from .platform.http import HttpObjectStore, HttpTableService
+from .platform.keystore import KeyStore
+from .policy.admission import Admission
+from .policy.allowance import AllowanceLedger
+from .policy.configlog import LogSlice, poller_rank
+from .policy.levels import LevelTable
+from .policy.limits import AdaptiveLimit, ConcurrencyLimit, StaticLimit
+from .policy.membership import Member, MemberState
+from .policy.quarantine import MARK_LIFETIME_S, Mark, Quarantine
+from .policy.retries import RetryBudget
+from .policy.selection import Selector
+from .policy.tickets import TicketBook
+from .settings import NodeSettings, parse_address
+from .tables import Pool, Tables
+from .targets.client import HttpTarget
+from .targets.gate import Gate, GateParts
+
+INITIAL_LIMIT = 4
+PULL_TIMEOUT_S = 1.0
+CONTACT_PERIOD_S = 5.0
+LEAVE_SPREAD_S = 0.3
+RESERVED_THREADS = 8
+
+log = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class _Announcement:
+    pool: str
+    address: tuple[str, int]
+
+
+@dataclass
+class _Members:
+    by_id: dict[int, Member] = field(default_factory=dict)
+
+
+class Node:
+    """All parts of one process, wired together.
+
+    Args:
+        settings: Checked settings.
+    """
+
+    def __init__(self, settings: NodeSettings):
+        self.settings = settings
+        seed = settings.seed or int.from_bytes(os.urandom(8), "big")
+        self.rng = Random(seed)
+        self.node_id = int.from_bytes(os.urandom(8), "big") or 1
+        self.started_at = time.monotonic()
+        self._members = _Members()
+        self._announcement: _Announcement | None = None
+        self._stopped = threading.Event()
+        self._stop_lock = threading.Lock()
+        self._open_peer_sockets()
+        self._build_platform()
+        self._build_gate()
+        self._build_ingress()
+        self._build_control()
+        self._build_servers()
+
+    # Construction.
+
+    def _open_peer_sockets(self) -> None:
+        host, port = parse_address(self.settings.peer_listen)
+        self._udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        if port:
+            self._udp.bind((host, port))
+        else:
+            self._udp.bind((host, 0))
+        self.peer_address: tuple[str, int] = self._udp.getsockname()[:2]
+        self.peer_text = f"{self.peer_address[0]}:{self.peer_address[1]}"
+
+    def _build_platform(self) -> None:
+        url = self.settings.platform_url
+        self._tables = HttpTableService(url) if url else None
+        self._store = None
+        self._contacts = None
+        self.keys: KeyService | None = None
+        if self._tables is not None:
+            self._store = ConfigStore(self._tables, HttpObjectStore(url))
+            self._contacts = ContactRows(self._tables, self.settings.zone)
+            self.keys = KeyService(KeyStore(self._tables))
+
+    def _build_gate(self) -> None:
+        limit: ConcurrencyLimit = AdaptiveLimit(1, INITIAL_LIMIT)
+        if self.settings.limit_mode == "static":
+            limit = StaticLimit(INITIAL_LIMIT)
+        self.quarantine = Quarantine()
+        self.ledger = AllowanceLedger()
+        self.config = ConfigHolder(self._on_config)
+        parts = GateParts(
+            admission=Admission(limit, INITIAL_LIMIT),
+            ledger=self.ledger,
+            tickets=TicketBook("", self.node_id, os.urandom(32), self.started_at),
+            quarantine=self.quarantine,
+            keys=self.keys,
+            spread_mark=lambda mark: self.gossip.add_mark(mark),
+            catch_up=lambda source, version: self.sync.catch_up(source, version),
+            config_version=lambda: self.config.version,
+        )
+        self.gate = Gate(parts, self.node_id, self.peer_text)
+
+    def _build_ingress(self) -> None:
+        self.connections = PeerConnections()
+        self.fleet = NodeFleet(self.gate, self.connections, self._find_member)
+        keyed = None
+        if self.keys is not None:
+            keyed = KeyedRequests(
+                self.keys, self.fleet.key_status, self.node_id, self.peer_text
+            )
+        self.selector = Selector(self.settings.zone)
+        self.levels = LevelTable()
+        self.ingress = Ingress(
+            IngressParts(
+                tables=lambda: self.config.tables,
+                fleet=self.fleet,
+                selector=self.selector,
+                ledger=self.ledger,
+                ledger_lock=self.gate.lock,
+                levels=self.levels,
+                budget=RetryBudget(),
+                quarantine=self.quarantine,
+                keyed=keyed,
+                rng=self.rng,
+                source=self.peer_text,
+                node_id=self.node_id,
+                max_in_flight=max(2, self.settings.threads - RESERVED_THREADS),
+            )
+        )
+
+    def _build_control(self) -> None:
+        local = Member(
+            self.node_id,
+            self.settings.name,
+            self.peer_address[0],
+            self.peer_address[1],
+            self.settings.zone,
+            "",
+        )
+        events = GossipEvents(self._on_members, self._on_newer_config, self._on_mark)
+        self.sync = ConfigSync(
+            self.config,
+            self._store,
+            self._pull_config,
+            self._zone_members,
+            self.node_id,
+            self.settings.poll_period_s,
+            self.rng,
+        )
+        self.gossip = Gossip(local, Random(self.rng.random()), self._udp, events)
+
+    def _build_servers(self) -> None:
+        settings = self.settings
+        handler = PeerHandler(
+            self.gate,
+            self.keys,
+            self.config.log_since,
+            self.known_members,
+        )
+        self.peer_server = PeerServer(self.peer_address, handler)
+        limits = ServerLimits(
+            settings.threads, settings.max_body_bytes, settings.idle_timeout_s
+        )
+        self.watcher = DepartureWatcher()
+        self.router_server = CallerServer(
+            parse_address(settings.router_listen), self.ingress, limits, self.watcher
+        )
+        self.local_server = CallerServer(
+            parse_address(settings.local_listen),
+            self.ingress,
+            limits,
+            self.watcher,
+            pool_name=self._pool_name,
+            target_control=self._control_target,
+        )
+        self.admin = AdminServer(parse_address(settings.admin_listen), self)
+
+    # Life cycle.
+
+    def start(self) -> None:
+        """Start serving; returns at once."""
+        self.peer_server.start()
+        self.gossip.start()
+        self.sync.start()
+        self.watcher.start()
+        self.router_server.start()
+        self.local_server.start()
+        self.admin.start()
+        threading.Thread(target=self._keep_contacts, daemon=True).start()
+        log.info(
+            "node_started",
+            node=f"{self.node_id:x}",
+            router=_text(self.router_server.address),
+            local=_text(self.local_server.address),
+            peer=self.peer_text,
+            admin=_text(self.admin.address),
+        )
+
+    def stop(self) -> None:
+        """Refuse new work, finish what is in flight and stop."""
+        with self._stop_lock:
+            if self._stopped.is_set():
+                return
+            self._stopped.set()
+        deadline = time.monotonic() + self.settings.drain_timeout_s
+        log.info("node_draining")
+        self.gate.drain()
+        self.gossip.leave()
+        self.router_server.begin_close()
+        self.local_server.begin_close()
+        self._await_idle(deadline)
+        time.sleep(LEAVE_SPREAD_S)
+        self._await_idle(deadline)
+        self.router_server.stop()
+        self.local_server.stop()
+        self.peer_server.stop(max(0.0, deadline - time.monotonic()))
+        self.sync.stop()
+        self.gossip.stop()
+        self.watcher.stop()
+        if self.keys is not None:
+            self.keys.stop()
+        self.connections.close()
+        self.admin.stop()
+        log.info("node_stopped")
+
+    def _await_idle(self, deadline: float) -> None:
+        while time.monotonic() < deadline:
+            admission = self.gate.parts.admission
+            if not (self.ingress.in_flight or admission.in_flight):
+                return
+            time.sleep(0.01)
+
+    # Views and operators' actions.
+
+    def known_members(self) -> list[Member]:
+        """Return every member that this node knows."""
+        return list(self._members.by_id.values())
+
+    def release_quarantine(self, request: str) -> bool:
+        """Clear a quarantined request everywhere."""
+        released = self.quarantine.release(time.monotonic(), request)
+        if released:
+            self.gossip.add_mark(Mark(request, 0, int(MARK_LIFETIME_S), released=True))
+        return released
+
+    # Membership and configuration.
+
+    def _find_member(self, node_id: int) -> Member | None:
+        return self._members.by_id.get(node_id)
+
+    def _zone_members(self) -> list[int]:
+        zone = self.settings.zone
+        return [
+            member.node_id
+            for member in self._members.by_id.values()
+            if member.zone == zone and member.state <= MemberState.SUSPECT
+        ]
+
+    def _on_members(self, members: dict[int, Member]) -> None:
+        gone = [
+            member.address
+            for member in members.values()
+            if member.state >= MemberState.DEAD
+        ]
+        self._members = _Members(members)
+        by_pool: dict[str, list[tuple[int, str]]] = {
+            pool.name: [] for pool in self.config.tables.pools
+        }
+        for member in members.values():
+            if member.pool and member.state <= MemberState.SUSPECT:
+                pair = (member.node_id, member.zone)
+                by_pool.setdefault(member.pool, []).append(pair)
+        with self.ingress.lock:
+            for pool, pairs in by_pool.items():
+                self.selector.sync(pool, pairs)
+        for address in gone:
+            self.connections.forget(address)
+
+    def _on_newer_config(self, version: int, member: Member) -> None:
+        self.sync.notice(version, member)
+
+    def _on_mark(self, mark: Mark) -> bool:
+        return self.quarantine.add(time.monotonic(), mark)
+
+    def _on_config(self, tables: Tables) -> None:
+        self.gossip.set_config_version(tables.version)
+        log.info("config_in_force", version=tables.version)
+        announcement = self._announcement
+        if announcement is None:
+            return
+        pool = tables.pool(announcement.pool)
+        if pool is not None and self.gate.target is None:
+            self._adopt(pool, announcement)
+        elif pool is not None:
+            self.gate.resize(pool)
+
+    def _pull_config(self, address: tuple[str, int], position: int) -> LogSlice:
+        wire = self.connections.run(
+            address, PULL_TIMEOUT_S, lambda client: client.pull_config(position)
+        )
+        return LogSlice(wire.base, tuple(wire.edits), wire.snapshot, wire.version)
+
+    def _keep_contacts(self) -> None:
+        while not self._stopped.is_set():
+            alone = len(self._members.by_id) <= 1
+            if alone:
+                self._join()
+            elif self._contacts is not None:
+                rank = poller_rank(self.node_id, self._zone_members())
+                self._contacts.write(rank, self.peer_text)
+            if self._stopped.wait(0.5 if alone else CONTACT_PERIOD_S):
+                return
+
+    def _join(self) -> None:
+        contacts = list(self.settings.contact_addresses)
+        if self._contacts is not None:
+            stored = self._contacts.read()
+            contacts.extend(stored)
+            if not stored:
+                self._contacts.write(0, self.peer_text)
+        contacts = [address for address in contacts if address != self.peer_address]
+        self.gossip.join(contacts)
+        for address in contacts:
+            try:
+                members = self.connections.run(
+                    address, PULL_TIMEOUT_S, lambda client: client.pull_members(0)
+                )
+            except PeerError:
+                continue
+            self.gossip.merge([from_wire_member(member) for member in members])
+            return
+
+    # The local target.
+
+    def _pool_name(self) -> str:
+        announcement = self._announcement
+        return announcement.pool if announcement else ""
+
+    def _control_target(self, method: str, document: dict[str, Any]) -> int:
+        if method == "PUT":
+            return self._announce(document)
+        if method == "DELETE":
+            self._dismiss()
+            return 204
+        return 405
+
+    def _announce(self, document: dict[str, Any]) -> int:
+        try:
+            pool_name = str(document["pool"])
+            address = parse_address(str(document["address"]))
+        except (KeyError, ValueError):
+            return 400
+        announcement = _Announcement(pool_name, address)
+        if announcement == self._announcement and self.gate.target is not None:
+            return 200
+        self._announcement = announcement
+        pool = self.config.tables.pool(pool_name)
+        if pool is None:
+            return 202
+        self._adopt(pool, announcement)
+        return 200
+
+    def _adopt(self, pool: Pool, announcement: _Announcement) -> None:
+        target = HttpTarget(announcement.address, self.settings.max_body_bytes)
+        self.gate.adopt(pool, target)
+        self.gate.parts.tickets.pool = pool.name
+        self.gossip.set_pool(pool.name)
+        log.info("target_announced", pool=pool.name, target=_text(announcement.address))
+
+    def _dismiss(self) -> None:
+        self.gate.drain()
+        self.gossip.set_pool("")
+        deadline = time.monotonic() + self.settings.drain_timeout_s
+        while self.gate.parts.admission.in_flight and time.monotonic() < deadline:
+            time.sleep(0.01)
+        self._announcement = None
+        self.gate.target = None
+        log.info("target_left")
+
+
+def _text(address: tuple[str, int]) -> str:
+    return f"{address[0]}:{address[1]}"
--- /dev/null
+++ b/dogwooddock/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operators: the command line and the admin port."""
--- /dev/null
+++ b/dogwooddock/operators/cli.py
@@ -0,0 +1,262 @@
+"""Command line.
+
+Exit codes: 0 done, 1 failed, 2 wrong usage, 3 tables refused, 4 conflict with another
+edit, 5 platform unavailable.
+"""
+
+__all__ = ["app", "main"]
+
+import getpass
+import json
+import signal
+import sys
+import threading
+from collections.abc import Callable
+from dataclasses import asdict
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+from .. import __version__, porcelain
+from ..errors import (
+    ConfigConflict,
+    DogwooddockError,
+    InvalidSettings,
+    InvalidTables,
+    PlatformError,
+)
+from ..logs import configure_logs
+from ..settings import ENVIRONMENT_PREFIX, NodeSettings, validate_settings
+from ..tables import RowChange, Tables
+
+EXIT_CODES: tuple[tuple[type[DogwooddockError], int], ...] = (
+    (InvalidSettings, 2),
+    (InvalidTables, 3),
+    (ConfigConflict, 4),
+    (PlatformError, 5),
+    (DogwooddockError, 1),
+)
+
+app = typer.Typer(
+    help="Overload control layer for service call graphs.",
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+)
+quarantine_app = typer.Typer(
+    help="Requests that make targets crash.", no_args_is_help=True
+)
+app.add_typer(quarantine_app, name="quarantine")
+
+Folder = Annotated[Path, typer.Argument(help="Folder with routes.toml and pools.toml.")]
+PlatformUrl = Annotated[
+    str,
+    typer.Option("--platform-url", envvar="DOGWOODDOCK_PLATFORM_URL", help="Base URL."),
+]
+AsJson = Annotated[bool, typer.Option("--json", help="Print JSON.")]
+Address = Annotated[str, typer.Argument(help="IP:PORT of a node's admin port.")]
+
+
+def _setting(name: str, text: str) -> Any:
+    flag = "--" + name.replace("_", "-")
+    return typer.Option(flag, envvar=ENVIRONMENT_PREFIX + name.upper(), help=text)
+
+
+@app.command()
+def node(
+    name: Annotated[str, _setting("name", "Name of the node.")],
+    zone: Annotated[str, _setting("zone", "Availability zone.")],
+    router_listen: Annotated[
+        str, _setting("router_listen", "IP:PORT for routers.")
+    ] = "127.0.0.1:0",
+    local_listen: Annotated[
+        str, _setting("local_listen", "IP:PORT for the local target.")
+    ] = "127.0.0.1:0",
+    peer_listen: Annotated[
+        str, _setting("peer_listen", "IP:PORT for nodes, TCP and UDP.")
+    ] = "127.0.0.1:0",
+    admin_listen: Annotated[
+        str, _setting("admin_listen", "IP:PORT for operators.")
+    ] = "127.0.0.1:0",
+    platform_url: Annotated[
+        str, _setting("platform_url", "Base URL of the platform.")
+    ] = "",
+    contacts: Annotated[
+        str, _setting("contacts", "Peer addresses, separated by commas.")
+    ] = "",
+    threads: Annotated[int, _setting("threads", "Requests served at once.")] = 128,
+    max_body_bytes: Annotated[
+        int, _setting("max_body_bytes", "Largest body in bytes.")
+    ] = 8 * 1024 * 1024,
+    idle_timeout_s: Annotated[
+        float, _setting("idle_timeout_s", "Longest silence of a sender, seconds.")
+    ] = 10.0,
+    drain_timeout_s: Annotated[
+        float, _setting("drain_timeout_s", "Longest planned stop, seconds.")
+    ] = 30.0,
+    poll_period_s: Annotated[
+        float, _setting("poll_period_s", "Pause between reads of the store, seconds.")
+    ] = 1.0,
+    limit_mode: Annotated[
+        str, _setting("limit_mode", "adaptive or static.")
+    ] = "adaptive",
+    log_level: Annotated[
+        str, _setting("log_level", "debug, info, warning or error.")
+    ] = "info",
+    seed: Annotated[int, _setting("seed", "Seed of random choices; 0: any.")] = 0,
+) -> None:
+    """Run a node beside a target until SIGTERM."""
+    values = {key: value for key, value in locals().items()}
+    settings = _guard(lambda: validate_settings(values))
+    _run_node(settings)
+
+
+def _run_node(settings: NodeSettings) -> None:
+    from ..node import Node
+
+    configure_logs(settings.log_level, name=settings.name)
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    running = _guard(lambda: Node(settings))
+    running.start()
+    stop.wait()
+    running.stop()
+
+
+@app.command()
+def check(folder: Folder, as_json: AsJson = False) -> None:
+    """Check the tables of a folder."""
+    tables = _guard(lambda: porcelain.check_tables(folder))
+    if as_json:
+        print(tables.dumps())
+    else:
+        print(f"{len(tables.routes)} routes and {len(tables.pools)} pools are correct")
+
+
+@app.command()
+def diff(folder: Folder, platform_url: PlatformUrl, as_json: AsJson = False) -> None:
+    """Show what an apply would change."""
+    version, changes = _guard(lambda: porcelain.diff_tables(folder, platform_url))
+    _print_changes(version, changes, as_json)
+
+
+@app.command()
+def apply(
+    folder: Folder,
+    platform_url: PlatformUrl,
+    author: Annotated[str, typer.Option(help="Name of the operator.")] = "",
+    base: Annotated[
+        int | None, typer.Option(help="Version that was edited; default: newest.")
+    ] = None,
+    edit_id: Annotated[str, typer.Option(help="Repeat an earlier edit.")] = "",
+    as_json: AsJson = False,
+) -> None:
+    """Make the tables of a folder the newest version."""
+    applied = _guard(
+        lambda: porcelain.apply_tables(
+            folder, platform_url, author or getpass.getuser(), base, edit_id
+        )
+    )
+    if as_json:
+        print(json.dumps(asdict(applied)))
+        return
+    print(f"version {applied.version} is accepted (edit {applied.edit_id})")
+    _print_changes(applied.version, applied.changes, False)
+
+
+@app.command()
+def show(platform_url: PlatformUrl, as_json: AsJson = False) -> None:
+    """Show the newest tables."""
+    tables = _guard(lambda: porcelain.show_tables(platform_url))
+    if as_json:
+        print(tables.dumps())
+    else:
+        _print_tables(tables)
+
+
+@app.command()
+def history(
+    platform_url: PlatformUrl,
+    after: Annotated[int, typer.Option(help="Show edits after this version.")] = 0,
+    as_json: AsJson = False,
+) -> None:
+    """Show the accepted edits."""
+    edits = _guard(lambda: porcelain.show_history(platform_url, after))
+    for edit in edits:
+        if as_json:
+            print(edit.dumps())
+            continue
+        rows = ", ".join(f"{change.table}/{change.name}" for change in edit.changes)
+        print(f"{edit.version:>6}  {edit.author:<16} {edit.edit_id[:12]:<12}  {rows}")
+
+
+@app.command()
+def state(address: Address) -> None:
+    """Print the state dump of a node as JSON."""
+    document = _guard(lambda: porcelain.fetch_state(address))
+    print(json.dumps(document, indent=2))
+
+
+@quarantine_app.command("list")
+def quarantine_list(address: Address) -> None:
+    """List marked requests."""
+    listing = _guard(lambda: porcelain.quarantine_list(address))
+    for request, standing in listing.items():
+        print(f"{request}  {standing}")
+
+
+@quarantine_app.command("release")
+def quarantine_release(
+    address: Address,
+    request: Annotated[str, typer.Argument(help="Fingerprint from the list.")],
+) -> None:
+    """Release a request in the whole fleet."""
+    released = _guard(lambda: porcelain.quarantine_release(address, request))
+    print("released" if released else "not marked")
+
+
+@app.command()
+def version() -> None:
+    """Print the version."""
+    print(__version__)
+
+
+def _print_changes(
+    version_: int, changes: tuple[RowChange, ...], as_json: bool
+) -> None:
+    if as_json:
+        rows = [asdict(change) for change in changes]
+        print(json.dumps({"version": version_, "changes": rows}))
+        return
+    for change in changes:
+        sign = "-" if change.row is None else "~"
+        print(f"{sign} {change.table}/{change.name}")
+
+
+def _print_tables(tables: Tables) -> None:
+    print(f"version {tables.version}")
+    for pool in tables.pools:
+        print(
+            f"pool  {pool.name:<12} slots={pool.slots} connections={pool.connections}"
+        )
+    for route in tables.routes:
+        print(
+            f"route {route.name:<20} {route.caller:<14} {route.method:<5} "
+            f"{route.path:<24} -> {route.pool} importance={route.importance} "
+            f"idempotent={str(route.idempotent).lower()}"
+        )
+
+
+def _guard(run: Callable[[], Any]) -> Any:
+    try:
+        return run()
+    except DogwooddockError as exc:
+        print(f"dogwooddock: {exc}", file=sys.stderr)
+        code = next(code for kind, code in EXIT_CODES if isinstance(exc, kind))
+        raise typer.Exit(code) from exc
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
--- /dev/null
+++ b/dogwooddock/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Other nodes: calls over TCP and gossip in datagrams."""
--- /dev/null
+++ b/dogwooddock/peers/client.py
@@ -0,0 +1,102 @@
+"""Calls to other nodes over kept, bounded connections."""
+
+__all__ = ["PeerConnections"]
+
+import threading
+from collections.abc import Callable
+from typing import Any
+
+from thrift.Thrift import TException
+from thrift.transport.TSocket import TSocket
+
+from ..errors import PeerError, PeerUnreachable
+from .transport import make_protocol
+from .wire import Peer
+
+MAX_IDLE_PER_PEER = 64
+CONNECT_TIMEOUT_S = 0.5
+
+
+class _Connection:
+    def __init__(self, address: tuple[str, int]):
+        self.socket = TSocket(*address)
+        self.socket.setTimeout(CONNECT_TIMEOUT_S * 1000)
+        self.socket.open()
+        self.client = Peer.Client(make_protocol(self.socket))
+
+    def close(self) -> None:
+        self.socket.close()
+
+
+class PeerConnections:
+    """Keep connections to peers and run calls over them."""
+
+    def __init__(self) -> None:
+        self._idle: dict[tuple[str, int], list[_Connection]] = {}
+        self._lock = threading.Lock()
+        self.calls = 0
+
+    def run(
+        self,
+        address: tuple[str, int],
+        timeout_s: float,
+        call: Callable[[Peer.Client], Any],
+    ) -> Any:
+        """Run one call against the peer at an address.
+
+        Args:
+            address: IP number and port.
+            timeout_s: Longest wait for the answer, in seconds.
+            call: Function that uses the thrift client once.
+
+        Returns:
+            What the call returned.
+
+        Raises:
+            PeerUnreachable: No connection could be opened; nothing was sent.
+            PeerError: The call was sent and its answer is unknown.
+        """
+        conn = self._take(address)
+        self.calls += 1
+        try:
+            conn.socket.setTimeout(max(1.0, timeout_s * 1000))
+            result = call(conn.client)
+        except (TException, OSError, EOFError, ValueError) as exc:
+            conn.close()
+            raise PeerError(f"call to {address[0]}:{address[1]} failed: {exc}") from exc
+        self._give_back(address, conn)
+        return result
+
+    def _take(self, address: tuple[str, int]) -> _Connection:
+        with self._lock:
+            idle = self._idle.get(address)
+            while idle:
+                conn = idle.pop()
+                if conn.socket.isOpen():
+                    return conn
+                conn.close()
+        try:
+            return _Connection(address)
+        except (TException, OSError) as exc:
+            text = f"no connection to {address[0]}:{address[1]}: {exc}"
+            raise PeerUnreachable(text) from exc
+
+    def _give_back(self, address: tuple[str, int], conn: _Connection) -> None:
+        with self._lock:
+            idle = self._idle.setdefault(address, [])
+            if len(idle) < MAX_IDLE_PER_PEER:
+                idle.append(conn)
+                return
+        conn.close()
+
+    def forget(self, address: tuple[str, int]) -> None:
+        """Close the idle connections to an address."""
+        with self._lock:
+            idle = self._idle.pop(address, [])
+        for conn in idle:
+            conn.close()
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for address in list(self._idle):
+            self.forget(address)
--- /dev/null
+++ b/dogwooddock/peers/codec.py
@@ -0,0 +1,98 @@
+"""Conversion between gossip messages and datagrams."""
+
+__all__ = ["decode_gossip", "encode_gossip", "from_wire_member", "to_wire_member"]
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.TSerialization import deserialize, serialize
+
+from ..errors import PeerError
+from ..policy.membership import Kind, Member, MemberState, Message
+from ..policy.quarantine import Mark
+from .wire import ttypes
+
+_FACTORY = TCompactProtocolAcceleratedFactory()
+_WIRE_OFFSET = 1 << 63
+
+
+def _signed(number: int) -> int:
+    return number - 2 * _WIRE_OFFSET if number >= _WIRE_OFFSET else number
+
+
+def _unsigned(number: int) -> int:
+    return number + 2 * _WIRE_OFFSET if number < 0 else number
+
+
+def to_wire_member(member: Member) -> ttypes.Member:
+    """Return the wire form of a member record."""
+    return ttypes.Member(
+        _signed(member.node_id),
+        member.name,
+        member.ip,
+        member.port,
+        member.zone,
+        member.pool,
+        member.counter,
+        int(member.state),
+    )
+
+
+def from_wire_member(wire: ttypes.Member) -> Member:
+    """Return the member record of a wire form."""
+    return Member(
+        _unsigned(wire.node_id),
+        wire.name,
+        wire.ip,
+        wire.port,
+        wire.zone,
+        wire.pool,
+        wire.counter,
+        MemberState(wire.state),
+    )
+
+
+def encode_gossip(message: Message) -> bytes:
+    """Serialize a gossip message."""
+    wire = ttypes.Gossip(
+        int(message.kind),
+        _signed(message.sender),
+        message.sequence,
+        _signed(message.subject),
+        message.config_version,
+        [to_wire_member(member) for member in message.members],
+        [
+            ttypes.QuarantineMark(
+                mark.fingerprint, _signed(mark.node_id), mark.remaining_s, mark.released
+            )
+            for mark in message.marks
+        ],
+    )
+    return serialize(wire, protocol_factory=_FACTORY)
+
+
+def decode_gossip(data: bytes) -> Message:
+    """Read a gossip message.
+
+    Raises:
+        PeerError: The datagram is not a gossip message.
+    """
+    try:
+        wire = deserialize(ttypes.Gossip(), data, protocol_factory=_FACTORY)
+        return Message(
+            Kind(wire.kind),
+            _unsigned(wire.sender),
+            wire.sequence,
+            _unsigned(wire.subject),
+            wire.config_version,
+            tuple(from_wire_member(member) for member in wire.members),
+            tuple(
+                Mark(
+                    mark.fingerprint,
+                    _unsigned(mark.node_id),
+                    mark.remaining_s,
+                    mark.released,
+                )
+                for mark in wire.marks
+            ),
+        )
+    except Exception as exc:
+        raise PeerError(f"datagram is not a gossip message: {exc}") from exc
--- /dev/null
+++ b/dogwooddock/peers/peer.thrift
@@ -0,0 +1,118 @@
+// Messages exchanged between nodes.
+namespace py dogwooddock.peers.wire
+
+struct Header {
+  1: string name
+  2: string value
+}
+
+// One attempt of a caller's request, sent by the ingress to a gate.
+struct Attempt {
+  1: string attempt_id
+  2: string trace_id
+  3: string route
+  4: string caller
+  5: i32 importance
+  6: i32 depth
+  7: i64 remaining_us
+  8: i32 allowance
+  9: i64 config_version
+  10: string method
+  11: string path
+  12: list<Header> headers
+  13: binary body
+  14: bool idempotent
+  15: string key
+  16: i64 key_base
+  17: string fingerprint
+  18: string source
+}
+
+// Load of a gate, attached to every reply.
+struct Load {
+  1: i32 limit
+  2: i32 in_flight
+  3: i32 queued
+  4: i32 level
+  5: i32 service_us
+  6: bool draining
+}
+
+struct Reply {
+  1: string attempt_id
+  2: string outcome
+  3: string reason
+  4: i32 status
+  5: list<Header> headers
+  6: binary body
+  7: i32 unspent
+  8: Load load
+  9: i32 downstream_level
+  10: i64 config_version
+  11: string ticket
+  12: i64 key_version
+}
+
+// Answer to a question about an attempt under a key.
+struct KeyStatus {
+  1: string state
+  2: Reply reply
+}
+
+struct Member {
+  1: i64 node_id
+  2: string name
+  3: string ip
+  4: i32 port
+  5: string zone
+  6: string pool
+  7: i32 counter
+  8: i8 state
+}
+
+struct QuarantineMark {
+  1: string fingerprint
+  2: i64 node_id
+  3: i32 remaining_s
+  4: bool released
+}
+
+struct Gossip {
+  1: i8 kind
+  2: i64 sender
+  3: i32 sequence
+  4: i64 subject
+  5: i64 config_version
+  6: list<Member> members
+  7: list<QuarantineMark> marks
+}
+
+struct ConfigLog {
+  1: i64 base
+  2: list<string> edits
+  3: string snapshot
+  4: i64 version
+}
+
+struct ClaimWrite {
+  1: string key
+  2: i64 base
+  3: string row
+}
+
+struct ClaimResult {
+  1: string status
+  2: i64 version
+  3: string row
+}
+
+service Peer {
+  Reply call(1: Attempt attempt)
+  bool cancel(1: string attempt_id)
+  KeyStatus key_status(1: i64 holder, 2: string attempt_id, 3: i64 wait_us)
+  list<string> issue_tickets(1: i32 count)
+  string cancel_ticket(1: string ticket)
+  list<ClaimResult> write_claims(1: list<ClaimWrite> writes)
+  ConfigLog pull_config(1: i64 position)
+  list<Member> pull_members(1: i64 requester)
+}
--- /dev/null
+++ b/dogwooddock/peers/server.py
@@ -0,0 +1,103 @@
+"""Server for calls from other nodes."""
+
+__all__ = ["PeerServer"]
+
+import socket
+import threading
+import time
+from typing import Any
+
+import structlog
+from thrift.Thrift import TException
+from thrift.transport.TSocket import TSocket
+
+from .transport import make_protocol
+from .wire import Peer
+
+MAX_CONNECTIONS = 2048
+LISTEN_BACKLOG = 256
+
+log = structlog.get_logger()
+
+
+class PeerServer:
+    """Serve the peer protocol with one thread per kept connection.
+
+    Args:
+        address: IP number and port to listen on; port 0 picks one.
+        handler: Object with the methods of the thrift service.
+    """
+
+    def __init__(self, address: tuple[str, int], handler: Any):
+        self._processor = Peer.Processor(handler)
+        self._listener = socket.create_server(address, backlog=LISTEN_BACKLOG)
+        self.address: tuple[str, int] = self._listener.getsockname()[:2]
+        self._connections: set[socket.socket] = set()
+        self._busy = 0
+        self._lock = threading.Lock()
+        self._stopping = False
+
+    def start(self) -> None:
+        """Accept connections in a background thread."""
+        threading.Thread(target=self._accept, name="peer-accept", daemon=True).start()
+
+    def _accept(self) -> None:
+        while not self._stopping:
+            try:
+                conn, _ = self._listener.accept()
+            except OSError:
+                return
+            if len(self._connections) >= MAX_CONNECTIONS:
+                log.warning("peer_connection_refused", remedy="raise MAX_CONNECTIONS")
+                conn.close()
+                continue
+            conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            with self._lock:
+                self._connections.add(conn)
+            thread = threading.Thread(target=self._serve, args=(conn,), daemon=True)
+            thread.start()
+
+    def _serve(self, conn: socket.socket) -> None:
+        wrapped = TSocket()
+        wrapped.setHandle(conn)
+        protocol = make_protocol(wrapped)
+        try:
+            while not self._stopping:
+                self._wait_readable(conn)
+                self._count(1)
+                try:
+                    self._processor.process(protocol, protocol)
+                finally:
+                    self._count(-1)
+        except (TException, OSError, EOFError):
+            pass
+        except Exception as exc:
+            log.warning("peer_connection_dropped", error=type(exc).__name__)
+        finally:
+            with self._lock:
+                self._connections.discard(conn)
+            wrapped.close()
+
+    @staticmethod
+    def _wait_readable(conn: socket.socket) -> None:
+        if not conn.recv(1, socket.MSG_PEEK):
+            raise EOFError
+
+    def _count(self, change: int) -> None:
+        with self._lock:
+            self._busy += change
+
+    def stop(self, grace_s: float) -> None:
+        """Finish the calls in progress and close every connection."""
+        self._listener.close()
+        deadline = time.monotonic() + grace_s
+        while self._busy and time.monotonic() < deadline:
+            time.sleep(0.01)
+        self._stopping = True
+        with self._lock:
+            remaining = list(self._connections)
+        for conn in remaining:
+            try:
+                conn.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
--- /dev/null
+++ b/dogwooddock/peers/transport.py
@@ -0,0 +1,41 @@
+"""Framed transport and protocol limits shared by client and server."""
+
+__all__ = ["MAX_FRAME_BYTES", "BoundedFramedTransport", "make_protocol"]
+
+import struct
+from io import BytesIO
+
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.transport.TTransport import TFramedTransport, TTransportException
+
+MAX_FRAME_BYTES = 32 * 1024 * 1024
+MAX_CONTAINER_ITEMS = 100_000
+_LENGTH = struct.Struct("!i")
+
+
+class BoundedFramedTransport(TFramedTransport):
+    """Framed transport that rejects frames over a bound."""
+
+    def readFrame(self) -> None:  # noqa: N802
+        """Read one frame into the buffer.
+
+        Raises:
+            TTransportException: The length is negative or over the bound.
+        """
+        trans = self._TFramedTransport__trans
+        (size,) = _LENGTH.unpack(trans.readAll(_LENGTH.size))
+        if not 0 <= size <= MAX_FRAME_BYTES:
+            raise TTransportException(
+                type=TTransportException.SIZE_LIMIT,
+                message=f"frame of {size} bytes is over the bound",
+            )
+        self._TFramedTransport__rbuf = BytesIO(trans.readAll(size))
+
+
+def make_protocol(socket: object) -> TBinaryProtocolAccelerated:
+    """Wrap a thrift socket in the transport and protocol used between nodes."""
+    return TBinaryProtocolAccelerated(
+        BoundedFramedTransport(socket),
+        string_length_limit=MAX_FRAME_BYTES,
+        container_length_limit=MAX_CONTAINER_ITEMS,
+    )
--- /dev/null
+++ b/dogwooddock/peers/wire/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Peer']
--- /dev/null
+++ b/dogwooddock/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's transactional table service and object store."""
--- /dev/null
+++ b/dogwooddock/platform/configsync.py
@@ -0,0 +1,213 @@
+"""Configuration actor: follows the store and the peers, forwards only."""
+
+__all__ = ["ConfigHolder", "ConfigSync"]
+
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+import pykka
+import structlog
+
+from ..errors import PeerError, PlatformError
+from ..policy.configlog import (
+    POLLERS_PER_ZONE,
+    ConfigReplica,
+    LogSlice,
+    poller_rank,
+)
+from ..policy.membership import Member
+from ..tables import Edit, Tables
+from .configstore import ConfigStore
+
+MAX_BACKOFF_S = 8.0
+FALLBACK_POLL_S = 20.0
+
+PullFrom = Callable[[tuple[str, int], int], LogSlice]
+
+log = structlog.get_logger()
+
+
+class ConfigHolder:
+    """Configuration of a node, safe for many threads.
+
+    Args:
+        on_change: Called with the tables after every step forward.
+    """
+
+    def __init__(self, on_change: Callable[[Tables], None]):
+        self._replica = ConfigReplica()
+        self._lock = threading.Lock()
+        self._on_change = on_change
+
+    @property
+    def tables(self) -> Tables:
+        """Return the tables in force."""
+        return self._replica.tables
+
+    @property
+    def version(self) -> int:
+        """Return the version in force."""
+        return self._replica.version
+
+    def log_since(self, position: int) -> LogSlice:
+        """Return what brings a replica forward from a position."""
+        with self._lock:
+            return self._replica.log_since(position)
+
+    def apply(self, part: LogSlice) -> bool:
+        """Move forward by a slice."""
+        return self._step(lambda replica: replica.apply(part))
+
+    def adopt(self, tables: Tables) -> bool:
+        """Move to newer tables."""
+        return self._step(lambda replica: replica.adopt(tables))
+
+    def _step(self, step: Callable[[ConfigReplica], bool]) -> bool:
+        with self._lock:
+            moved = step(self._replica)
+            if moved:
+                self._on_change(self._replica.tables)
+        return moved
+
+
+@dataclass(frozen=True, slots=True)
+class _Poll:
+    """Read the head from the store if it is this node's turn."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Pull:
+    address: tuple[str, int]
+    version: int
+
+
+class _ConfigActor(pykka.ThreadingActor):
+    use_daemon_thread = True
+
+    def __init__(
+        self,
+        holder: ConfigHolder,
+        store: ConfigStore | None,
+        pull: PullFrom,
+        is_poller: Callable[[], bool],
+        period_s: float,
+        rng: Random,
+    ):
+        super().__init__()
+        self._holder = holder
+        self._store = store
+        self._pull = pull
+        self._is_poller = is_poller
+        self._period_s = period_s
+        self._rng = rng
+        self._backoff_s = 0.0
+        self._next_poll = 0.0
+        self._last_read = 0.0
+
+    def on_receive(self, message: object) -> object:
+        """Poll the store or pull from a peer."""
+        if isinstance(message, _Poll):
+            self._poll(time.monotonic())
+        elif isinstance(message, _Pull) and message.version > self._holder.version:
+            self._pull_from(message)
+        return None
+
+    def _poll(self, now: float) -> None:
+        if self._store is None or now < self._next_poll:
+            return
+        overdue = now - self._last_read > FALLBACK_POLL_S * self._rng.uniform(1, 3)
+        fresh = self._holder.version == 0
+        if not (fresh or overdue or self._is_poller()):
+            return
+        self._last_read = now
+        try:
+            self._read(self._store)
+            self._backoff_s = 0.0
+        except PlatformError as exc:
+            grown = max(self._period_s, self._backoff_s * 2)
+            self._backoff_s = min(MAX_BACKOFF_S, grown)
+            log.warning("config_poll_failed", error=str(exc)[:80])
+        delay = max(self._period_s, self._backoff_s)
+        self._next_poll = now + delay * self._rng.uniform(0.85, 1.15)
+
+    def _read(self, store: ConfigStore) -> None:
+        head = store.head()
+        position = self._holder.version
+        if head.version <= position:
+            return
+        if position == 0:
+            self._holder.adopt(store.load(head))
+            return
+        edits: list[Edit] = store.edits_after(position)
+        part = LogSlice(position, tuple(edit.dumps() for edit in edits), "", 0)
+        if not self._holder.apply(part):
+            self._holder.adopt(store.load(head))
+
+    def _pull_from(self, message: _Pull) -> None:
+        try:
+            self._holder.apply(self._pull(message.address, self._holder.version))
+        except PeerError as exc:
+            log.info("config_pull_failed", error=str(exc)[:80])
+
+
+class ConfigSync:
+    """Keep a holder up to date in the background."""
+
+    def __init__(
+        self,
+        holder: ConfigHolder,
+        store: ConfigStore | None,
+        pull: PullFrom,
+        zone_members: Callable[[], list[int]],
+        node_id: int,
+        period_s: float,
+        rng: Random,
+    ):
+        def is_poller() -> bool:
+            return poller_rank(node_id, zone_members()) < POLLERS_PER_ZONE
+
+        self._holder = holder
+        self._pull = pull
+        self._period_s = period_s
+        self._actor = _ConfigActor.start(holder, store, pull, is_poller, period_s, rng)
+        self._pending = 0.0
+        self._stopped = threading.Event()
+
+    def start(self) -> None:
+        """Poll in a background thread."""
+        threading.Thread(target=self._run, name="config", daemon=True).start()
+
+    def _run(self) -> None:
+        while True:
+            try:
+                self._actor.tell(_Poll())
+            except pykka.ActorDeadError:
+                return
+            if self._stopped.wait(self._period_s / 4):
+                return
+
+    def notice(self, version: int, member: Member) -> None:
+        """Pull in the background from a peer that has a newer version."""
+        now = time.monotonic()
+        if version > self._holder.version and now - self._pending > 0.05:
+            self._pending = now
+            self._actor.tell(_Pull(member.address, version))
+
+    def catch_up(self, source: str, version: int) -> None:
+        """Pull from the peer that sent a request with a newer version."""
+        host, _, port = source.rpartition(":")
+        if not host or version <= self._holder.version:
+            return
+        try:
+            part = self._pull((host, int(port)), self._holder.version)
+        except PeerError:
+            return
+        self._holder.apply(part)
+
+    def stop(self) -> None:
+        """Stop the actor."""
+        self._stopped.set()
+        self._actor.stop()
--- /dev/null
+++ b/dogwooddock/platform/http.py
@@ -0,0 +1,96 @@
+"""The platform's services over HTTP with JSON bodies.
+
+Tables: ``POST /tables/NAME/read|scan|commit``. Objects: ``GET`` and ``PUT
+/objects/NAME``.
+"""
+
+__all__ = ["HttpObjectStore", "HttpTableService"]
+
+import json
+from collections.abc import Sequence
+from dataclasses import asdict
+from typing import Any
+
+import urllib3
+from urllib3.exceptions import HTTPError, NewConnectionError
+
+from ..errors import PlatformTimeout, PlatformUnavailable
+from .base import ObjectStore, Row, TableService, Write, WriteResult
+
+REQUEST_TIMEOUT_S = 1.0
+MAX_CONNECTIONS = 16
+
+
+class _Endpoint:
+    def __init__(self, url: str, timeout_s: float):
+        self._url = url.rstrip("/")
+        self._timeout = urllib3.Timeout(connect=timeout_s / 2, read=timeout_s)
+        self._pool = urllib3.PoolManager(maxsize=MAX_CONNECTIONS, retries=False)
+
+    def request(self, method: str, path: str, body: bytes | None) -> tuple[int, bytes]:
+        try:
+            answer = self._pool.request(
+                method, self._url + path, body=body, timeout=self._timeout
+            )
+        except NewConnectionError as exc:
+            raise PlatformUnavailable(f"platform refused: {exc}") from exc
+        except urllib3.exceptions.ConnectTimeoutError as exc:
+            raise PlatformUnavailable(f"platform unreachable: {exc}") from exc
+        except HTTPError as exc:
+            raise PlatformTimeout(f"platform's answer was lost: {exc}") from exc
+        if answer.status == 503:
+            raise PlatformUnavailable("platform answered 503; wait and try again")
+        if answer.status >= 500:
+            raise PlatformTimeout(f"platform answered {answer.status}")
+        return answer.status, answer.data
+
+
+class HttpTableService(TableService):
+    """Table service at a URL.
+
+    Args:
+        url: Base URL, such as ``http://10.0.0.5:7000``.
+        timeout_s: Longest wait for an answer, in seconds.
+    """
+
+    def __init__(self, url: str, timeout_s: float = REQUEST_TIMEOUT_S):
+        self._endpoint = _Endpoint(url, timeout_s)
+
+    def _call(self, table: str, verb: str, body: dict[str, Any]) -> list[dict]:
+        data = json.dumps(body).encode()
+        path = f"/tables/{table}/{verb}"
+        _, answer = self._endpoint.request("POST", path, data)
+        return json.loads(answer)
+
+    def read(self, table: str, keys: Sequence[str]) -> list[Row]:
+        """Return the rows of the keys; absent rows have version 0."""
+        rows = self._call(table, "read", {"keys": list(keys)})
+        return [Row(**row) for row in rows]
+
+    def scan(self, table: str, after: str, limit: int) -> list[Row]:
+        """Return up to ``limit`` rows with keys above ``after``, in order."""
+        rows = self._call(table, "scan", {"after": after, "limit": limit})
+        return [Row(**row) for row in rows]
+
+    def commit(
+        self, table: str, writes: Sequence[Write], atomic: bool = False
+    ) -> list[WriteResult]:
+        """Run the writes in one transaction."""
+        body = {"writes": [asdict(write) for write in writes], "atomic": atomic}
+        return [WriteResult(**row) for row in self._call(table, "commit", body)]
+
+
+class HttpObjectStore(ObjectStore):
+    """Object store at a URL."""
+
+    def __init__(self, url: str, timeout_s: float = REQUEST_TIMEOUT_S):
+        self._endpoint = _Endpoint(url, timeout_s)
+
+    def get(self, name: str) -> bytes | None:
+        """Return a blob, or None if it is absent."""
+        status, data = self._endpoint.request("GET", f"/objects/{name}", None)
+        return data if status == 200 else None
+
+    def put(self, name: str, data: bytes) -> None:
+        """Store a blob."""
+        self._endpoint.request("PUT", f"/objects/{name}", data)
--- /dev/null
+++ b/dogwooddock/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a node, free of I/O, clocks and threads."""
--- /dev/null
+++ b/dogwooddock/policy/allowance.py
@@ -0,0 +1,99 @@
+"""Conserved retry allowance of a client request across its call chain."""
+
+__all__ = ["EDGE_ALLOWANCE", "AllowanceLedger", "ChainEntry"]
+
+from dataclasses import dataclass, field
+
+EDGE_ALLOWANCE = 2
+
+
+@dataclass(slots=True)
+class ChainEntry:
+    """What a node holds for one chain while its target works on it.
+
+    Args:
+        available: Retries that this node may still use or lend.
+        importance: Importance of the client request.
+        depth: Calls above the target in the chain.
+        deadline: Monotonic deadline in seconds.
+        parent_attempt: Attempt that the target is working on.
+        downstream_s: Time that the target spent waiting for its own calls.
+        downstream_level: Highest admission level met below, in hundredths.
+        refused_below: Whether a call below was refused for load.
+        cancelled: Whether the request was cancelled above.
+    """
+
+    available: int
+    importance: int
+    depth: int
+    deadline: float
+    parent_attempt: str
+    downstream_s: float = 0.0
+    downstream_level: int = 0
+    refused_below: bool = False
+    cancelled: bool = False
+    holders: int = 1
+
+
+@dataclass
+class AllowanceLedger:
+    """Keep the allowance of every chain that the local target works on.
+
+    An allowance is conserved: what is lent to a call leaves the entry, what the
+    reply returns comes back, and what is lent on a lost call counts as spent.
+    """
+
+    _entries: dict[str, ChainEntry] = field(default_factory=dict)
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def open(
+        self,
+        trace_id: str,
+        allowance: int,
+        importance: int,
+        depth: int,
+        deadline: float,
+        attempt_id: str,
+    ) -> ChainEntry:
+        """Record a chain whose attempt is about to be dispatched."""
+        entry = self._entries.get(trace_id)
+        if entry is None:
+            entry = ChainEntry(allowance, importance, depth, deadline, attempt_id)
+            self._entries[trace_id] = entry
+            return entry
+        entry.available += allowance
+        entry.holders += 1
+        entry.depth = max(entry.depth, depth)
+        return entry
+
+    def find(self, trace_id: str) -> ChainEntry | None:
+        """Return the entry of a chain, or None."""
+        return self._entries.get(trace_id)
+
+    def borrow(self, trace_id: str, upper: int = EDGE_ALLOWANCE) -> int:
+        """Take up to half of a chain's allowance, rounded up."""
+        entry = self._entries.get(trace_id)
+        if entry is None or entry.available <= 0:
+            return 0
+        taken = min(upper, (entry.available + 1) // 2)
+        entry.available -= taken
+        return taken
+
+    def repay(self, trace_id: str, unspent: int) -> None:
+        """Return what a call did not spend; a closed chain keeps nothing."""
+        entry = self._entries.get(trace_id)
+        if entry is not None:
+            entry.available += unspent
+
+    def close(self, trace_id: str) -> int:
+        """End one attempt of a chain and return what is unspent."""
+        entry = self._entries.get(trace_id)
+        if entry is None:
+            return 0
+        entry.holders -= 1
+        if entry.holders > 0:
+            return 0
+        del self._entries[trace_id]
+        return entry.available
--- /dev/null
+++ b/dogwooddock/policy/levels.py
@@ -0,0 +1,118 @@
+"""Admission levels: which importance a gate would refuse, and how edges learn it."""
+
+__all__ = ["LEVEL_SCALE", "LevelController", "LevelTable", "request_rank"]
+
+import zlib
+from dataclasses import dataclass, field
+
+LEVEL_SCALE = 100
+MAX_LEVEL = 10 * LEVEL_SCALE
+WINDOW_S = 0.1
+RAISE_GAIN = 60.0
+DECAY_IDLE = 25.0
+DECAY_BUSY = 4.0
+HOLD_S = 0.6
+STALE_DECAY_PER_S = 300.0
+
+
+def request_rank(importance: int, trace_id: str) -> int:
+    """Rank a request in hundredths of a class, the same on every hop.
+
+    Requests of one importance are spread over 100 ranks by their trace id, so that
+    every node refuses the same part of a class and no chain is cut half-way.
+    """
+    share = zlib.crc32(trace_id.encode()) % LEVEL_SCALE
+    return importance * LEVEL_SCALE + share
+
+
+@dataclass
+class LevelController:
+    """Turn a gate's refusals into the level that edges should apply.
+
+    The level rises with the share of refused arrivals and falls while nothing is
+    refused, faster when the gate has free slots.
+    """
+
+    _level: float = 0.0
+    _opened_at: float = 0.0
+    _arrivals: int = 0
+    _refusals: int = 0
+    _highest: int = -1
+
+    def arrived(self, now: float, importance: int) -> None:
+        """Count an arrival."""
+        self._arrivals += 1
+
+    def refused(self, now: float, importance: int) -> None:
+        """Count a refusal for load."""
+        self._refusals += 1
+        self._highest = max(self._highest, importance)
+
+    def value(self, now: float, busy: bool) -> int:
+        """Return the level at a time, in hundredths of a class."""
+        elapsed = now - self._opened_at
+        if elapsed >= WINDOW_S:
+            self._close_window(min(elapsed / WINDOW_S, 20.0), busy)
+            self._opened_at = now
+        return int(self._level)
+
+    def _close_window(self, windows: float, busy: bool) -> None:
+        if self._refusals:
+            share = self._refusals / max(1, self._arrivals)
+            ceiling = float((self._highest + 1) * LEVEL_SCALE)
+            floor = float(max(0, self._highest) * LEVEL_SCALE)
+            raised = max(self._level, floor) + RAISE_GAIN * min(1.0, share)
+            self._level = max(self._level - DECAY_BUSY, min(ceiling, raised))
+        else:
+            decay = DECAY_BUSY if busy else DECAY_IDLE
+            self._level = max(0.0, self._level - decay * windows)
+        self._arrivals = 0
+        self._refusals = 0
+        self._highest = -1
+
+
+@dataclass(slots=True)
+class _Reading:
+    level: int
+    at: float
+
+
+@dataclass
+class LevelTable:
+    """Remember the latest level of each gate or route, with ageing.
+
+    A level that is not refreshed decays, so requests go through again and bring a
+    fresh one.
+    """
+
+    _readings: dict[str, _Reading] = field(default_factory=dict)
+
+    def update(self, name: str, level: int, now: float) -> None:
+        """Store a level received at a time."""
+        if level <= 0:
+            self._readings.pop(name, None)
+        else:
+            self._readings[name] = _Reading(level, now)
+
+    def raise_to(self, name: str, level: int, now: float) -> None:
+        """Store a level unless a higher one is remembered."""
+        if level > self.level(name, now):
+            self._readings[name] = _Reading(level, now)
+
+    def level(self, name: str, now: float) -> int:
+        """Return the level after ageing, in hundredths of a class."""
+        reading = self._readings.get(name)
+        if reading is None:
+            return 0
+        stale_s = now - reading.at - HOLD_S
+        if stale_s <= 0:
+            return reading.level
+        aged = reading.level - int(stale_s * STALE_DECAY_PER_S)
+        if aged <= 0:
+            self._readings.pop(name, None)
+            return 0
+        return aged
+
+    def snapshot(self, now: float) -> dict[str, int]:
+        """Return every level after ageing."""
+        return {name: self.level(name, now) for name in list(self._readings)}
--- /dev/null
+++ b/dogwooddock/policy/outcomes.py
@@ -0,0 +1,42 @@
+"""Outcomes of a request and the reasons for them."""
+
+__all__ = ["LOAD_REASONS", "Outcome", "Reason"]
+
+from enum import StrEnum
+
+
+class Outcome(StrEnum):
+    """What a caller is told about its request."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Reason(StrEnum):
+    """Why a request was not answered."""
+
+    NONE = ""
+    OVERLOAD = "overload"
+    DISPLACED = "displaced"
+    DEADLINE = "deadline"
+    DRAINING = "draining"
+    NO_ROUTE = "no-route"
+    NO_TARGET = "no-target"
+    KEY_REQUIRED = "key-required"
+    KEY_INVALID = "key-invalid"
+    KEY_IN_USE = "key-in-use"
+    KEY_LOST = "key-lost"
+    TICKET_SPENT = "ticket-spent"
+    TICKET_LOST = "ticket-lost"
+    STORE_UNAVAILABLE = "store-unavailable"
+    QUARANTINED = "quarantined"
+    TARGET_UNREACHABLE = "target-unreachable"
+    TARGET_FAILED = "target-failed"
+    PEER_FAILED = "peer-failed"
+    CANCELLED = "cancelled"
+    MALFORMED = "malformed"
+    TOO_LARGE = "too-large"
+
+
+LOAD_REASONS = frozenset({Reason.OVERLOAD, Reason.DISPLACED})
--- /dev/null
+++ b/dogwooddock/policy/selection.py
@@ -0,0 +1,152 @@
+"""Choice of a target within a pool."""
+
+__all__ = ["Candidate", "Selector"]
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from random import Random
+
+REMOTE_PENALTY = 1.2
+LATENCY_SMOOTHING = 0.2
+FAILURES_TO_EJECT = 3
+EJECT_BASE_S = 1.0
+EJECT_MAX_S = 20.0
+EJECTED_SHARE = 0.5
+RECOVERY_S = 2.0
+LOAD_STALE_S = 2.0
+
+
+@dataclass(slots=True)
+class Candidate:
+    """One target and what its replies have shown.
+
+    Args:
+        node_id: Identity of the node beside the target.
+        zone: Availability zone.
+    """
+
+    node_id: int
+    zone: str
+    outstanding: int = 0
+    limit: int = 1
+    reported_load: int = 0
+    reported_at: float = 0.0
+    latency_s: float = 0.0
+    draining: bool = False
+    failures: int = 0
+    ejections: int = 0
+    ejected_until: float = 0.0
+
+
+@dataclass
+class Selector:
+    """Choose between two random targets by load, zone and health.
+
+    Args:
+        zone: Availability zone of this node.
+    """
+
+    zone: str
+    _pools: dict[str, dict[int, Candidate]] = field(default_factory=dict)
+
+    def sync(self, pool: str, members: Iterable[tuple[int, str]]) -> None:
+        """Adopt the present members of a pool as (node id, zone) pairs."""
+        known = self._pools.get(pool, {})
+        self._pools[pool] = {
+            node_id: known.get(node_id) or Candidate(node_id, zone)
+            for node_id, zone in members
+        }
+
+    def candidates(self, pool: str) -> list[Candidate]:
+        """Return the known targets of a pool."""
+        return list(self._pools.get(pool, {}).values())
+
+    def find(self, pool: str, node_id: int) -> Candidate | None:
+        """Return one target of a pool, or None."""
+        return self._pools.get(pool, {}).get(node_id)
+
+    def choose(
+        self, pool: str, now: float, rng: Random, excluded: set[int]
+    ) -> Candidate | None:
+        """Pick a target that was not tried before, or None."""
+        eligible = self._eligible(pool, now, excluded)
+        if not eligible:
+            return None
+        if len(eligible) == 1:
+            return eligible[0]
+        first, second = rng.sample(eligible, 2)
+        if self._cost(first, now) <= self._cost(second, now):
+            return first
+        return second
+
+    def _eligible(self, pool: str, now: float, excluded: set[int]) -> list[Candidate]:
+        present = [
+            candidate
+            for candidate in self._pools.get(pool, {}).values()
+            if candidate.node_id not in excluded and not candidate.draining
+        ]
+        healthy = [item for item in present if item.ejected_until <= now]
+        if len(healthy) >= max(1, len(present) * (1 - EJECTED_SHARE)):
+            return healthy
+        return present
+
+    def _cost(self, candidate: Candidate, now: float) -> float:
+        reported = candidate.reported_load
+        if now - candidate.reported_at > LOAD_STALE_S:
+            reported = 0
+        load = max(candidate.outstanding, reported) + 1
+        cost = load / max(1, candidate.limit)
+        cost *= 1.0 + candidate.latency_s
+        if candidate.zone != self.zone:
+            cost *= REMOTE_PENALTY
+        since_ejection = now - candidate.ejected_until
+        if candidate.ejections and since_ejection < RECOVERY_S:
+            cost *= 1.0 + 3.0 * (1.0 - since_ejection / RECOVERY_S)
+        return cost
+
+    def sent(self, candidate: Candidate) -> None:
+        """Account for a call sent to a target."""
+        candidate.outstanding += 1
+
+    def replied(
+        self,
+        candidate: Candidate,
+        now: float,
+        latency_s: float,
+        limit: int,
+        load: int,
+        draining: bool,
+        failed: bool,
+    ) -> None:
+        """Account for a reply and the load that it reported."""
+        candidate.outstanding -= 1
+        candidate.limit = max(1, limit)
+        candidate.reported_load = load
+        candidate.reported_at = now
+        candidate.draining = draining
+        if failed:
+            self._count_failure(candidate, now)
+            return
+        candidate.failures = 0
+        if now - candidate.ejected_until > RECOVERY_S:
+            candidate.ejections = 0
+        change = latency_s - candidate.latency_s
+        candidate.latency_s += change * LATENCY_SMOOTHING
+
+    def lost(self, candidate: Candidate, now: float) -> None:
+        """Account for a call that got no reply."""
+        candidate.outstanding -= 1
+        self._count_failure(candidate, now)
+
+    def withdrawn(self, candidate: Candidate) -> None:
+        """Account for a call whose result says nothing about the target."""
+        candidate.outstanding -= 1
+
+    def _count_failure(self, candidate: Candidate, now: float) -> None:
+        candidate.failures += 1
+        if candidate.failures < FAILURES_TO_EJECT:
+            return
+        candidate.failures = 0
+        duration = EJECT_BASE_S * 2.0**candidate.ejections
+        candidate.ejected_until = now + min(EJECT_MAX_S, duration)
+        candidate.ejections += 1
--- /dev/null
+++ b/dogwooddock/targets/__init__.py
@@ -0,0 +1,1 @@
+"""The local target: admission, claims and dispatch."""
--- /dev/null
+++ b/dogwooddock/targets/client.py
@@ -0,0 +1,245 @@
+"""Requests to the local target."""
+
+__all__ = ["Canceller", "HttpTarget", "MemoryTarget", "Target", "TargetAnswer"]
+
+import socket
+import threading
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import ConnectTimeoutError as ConnectTimeout
+from urllib3.exceptions import (
+    HTTPError,
+    IncompleteRead,
+    NewConnectionError,
+    ProtocolError,
+)
+
+from ..errors import (
+    AnswerTooLarge,
+    IncompleteAnswer,
+    TargetError,
+    TargetUnreachable,
+)
+
+CONNECT_TIMEOUT_S = 0.5
+READ_CHUNK_BYTES = 64 * 1024
+BODILESS = frozenset({204, 304})
+
+Headers = list[tuple[str, str]]
+
+
+@dataclass(frozen=True, slots=True)
+class TargetAnswer:
+    """A complete answer of a target."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass
+class Canceller:
+    """Cancel a request that may be in progress in another thread."""
+
+    cancelled: bool = False
+    _stop: Callable[[], None] | None = None
+    _lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def bind(self, stop: Callable[[], None]) -> bool:
+        """Set how to stop the request; return False if already cancelled."""
+        with self._lock:
+            self._stop = stop
+            return not self.cancelled
+
+    def cancel(self) -> None:
+        """Stop the request, now or as soon as it starts."""
+        with self._lock:
+            self.cancelled = True
+            stop = self._stop
+        if stop is not None:
+            stop()
+
+
+class Target(ABC):
+    """A target that can run requests."""
+
+    @abstractmethod
+    def send(
+        self,
+        method: str,
+        path: str,
+        headers: Headers,
+        body: bytes,
+        timeout_s: float,
+        canceller: Canceller,
+    ) -> TargetAnswer:
+        """Run one request.
+
+        Raises:
+            TargetUnreachable: Nothing was sent.
+            TargetError: The request was sent and has no complete answer.
+        """
+
+    @abstractmethod
+    def accepts_connections(self) -> bool:
+        """Report whether the target's port is open."""
+
+    def close(self) -> None:  # noqa: B027
+        """Release what the target holds."""
+
+
+class MemoryTarget(Target):
+    """Target in this process, for tests."""
+
+    def __init__(self, run: Callable[[str, str, bytes], TargetAnswer]):
+        self._run = run
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        headers: Headers,
+        body: bytes,
+        timeout_s: float,
+        canceller: Canceller,
+    ) -> TargetAnswer:
+        """Run one request."""
+        return self._run(method, path, body)
+
+    def accepts_connections(self) -> bool:
+        """Report that the target is there."""
+        return True
+
+
+class HttpTarget(Target):
+    """Target behind HTTP/1.1 with kept connections.
+
+    Args:
+        address: IP number and port.
+        max_answer_bytes: Largest accepted body.
+    """
+
+    def __init__(self, address: tuple[str, int], max_answer_bytes: int):
+        self.address = address
+        self._max_answer_bytes = max_answer_bytes
+        self._idle: list[HTTPConnection] = []
+        self._lock = threading.Lock()
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        headers: Headers,
+        body: bytes,
+        timeout_s: float,
+        canceller: Canceller,
+    ) -> TargetAnswer:
+        """Run one request over a kept or new connection."""
+        conn = self._take()
+        try:
+            return self._exchange(
+                conn, method, path, headers, body, timeout_s, canceller
+            )
+        except BaseException:
+            conn.close()
+            raise
+
+    def _exchange(
+        self,
+        conn: HTTPConnection,
+        method: str,
+        path: str,
+        headers: Headers,
+        body: bytes,
+        timeout_s: float,
+        canceller: Canceller,
+    ) -> TargetAnswer:
+        if not canceller.bind(lambda: _shut_down(conn)):
+            raise TargetUnreachable("the request was cancelled before it was sent")
+        try:
+            conn.timeout = timeout_s
+            if conn.sock is not None:
+                conn.sock.settimeout(timeout_s)
+            conn.request(
+                method,
+                path,
+                body=body or None,
+                headers=dict(headers),
+                preload_content=False,
+                decode_content=False,
+            )
+            answer = conn.getresponse()
+            payload = self._read_body(answer, method)
+        except TimeoutError as exc:
+            raise TargetError("the target did not answer in time") from exc
+        except (IncompleteRead, ProtocolError) as exc:
+            raise IncompleteAnswer(f"the answer ended early: {exc}") from exc
+        except (HTTPError, OSError, ValueError) as exc:
+            raise TargetError(f"the connection failed: {exc}") from exc
+        result = TargetAnswer(answer.status, list(answer.headers.items()), payload)
+        if answer.headers.get("connection", "").lower() == "close":
+            conn.close()
+        else:
+            with self._lock:
+                self._idle.append(conn)
+        return result
+
+    def _read_body(self, answer: object, method: str) -> bytes:
+        headers = answer.headers  # type: ignore[attr-defined]
+        bodiless = method == "HEAD" or answer.status in BODILESS  # type: ignore[attr-defined]
+        framed = "content-length" in headers or "transfer-encoding" in headers
+        if not bodiless and not framed:
+            raise IncompleteAnswer("the answer states no length; add Content-Length")
+        chunks = []
+        size = 0
+        while chunk := answer.read(READ_CHUNK_BYTES):  # type: ignore[attr-defined]
+            size += len(chunk)
+            if size > self._max_answer_bytes:
+                raise AnswerTooLarge(f"over {self._max_answer_bytes} bytes")
+            chunks.append(chunk)
+        return b"".join(chunks)
+
+    def _take(self) -> HTTPConnection:
+        while True:
+            with self._lock:
+                conn = self._idle.pop() if self._idle else None
+            if conn is None:
+                return self._connect()
+            if conn.is_connected:
+                return conn
+            conn.close()
+
+    def _connect(self) -> HTTPConnection:
+        conn = HTTPConnection(*self.address, timeout=CONNECT_TIMEOUT_S)
+        try:
+            conn.connect()
+        except (NewConnectionError, ConnectTimeout, HTTPError, OSError) as exc:
+            raise TargetUnreachable(f"no connection to the target: {exc}") from exc
+        return conn
+
+    def accepts_connections(self) -> bool:
+        """Report whether the target's port is open."""
+        try:
+            socket.create_connection(self.address, CONNECT_TIMEOUT_S).close()
+        except OSError:
+            return False
+        return True
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        with self._lock:
+            idle, self._idle = self._idle, []
+        for conn in idle:
+            conn.close()
+
+
+def _shut_down(conn: HTTPConnection) -> None:
+    sock = conn.sock
+    if sock is not None:
+        try:
+            sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
--- /dev/null
+++ b/dogwooddock/targets/gate.py
@@ -0,0 +1,543 @@
+"""Gate of the local target: runs attempts that ingresses send."""
+
+__all__ = ["Gate", "GateParts"]
+
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ..errors import PlatformError, PlatformTimeout, TargetError, TargetUnreachable
+from ..headers import (
+    IDEMPOTENCY_KEY,
+    TIMEOUT_MS,
+    TRACEPARENT,
+    end_to_end,
+    make_traceparent,
+)
+from ..peers.wire.ttypes import Attempt, Header, KeyStatus, Load, Reply
+from ..platform.committer import KeyService
+from ..platform.keystore import KeyWrite
+from ..policy.admission import Admission, QueuedCall, Verdict
+from ..policy.allowance import AllowanceLedger
+from ..policy.keys import ClaimVerdict, KeyRow, KeyState, judge_claim
+from ..policy.outcomes import Outcome, Reason
+from ..policy.quarantine import Mark, Quarantine, Standing
+from ..policy.tickets import TicketBook, TicketState, parse_ticket
+from ..tables import Pool
+from .answers import store_answer
+from .attempts import AttemptRecord, AttemptRegistry, Phase
+from .client import Target
+
+CLAIM_TIMEOUT_S = 1.0
+CLAIM_ATTEMPTS = 4
+LOSS_CHECK_DELAY_S = 0.03
+SHED_STATUS = 503
+
+
+@dataclass(slots=True)
+class _Waiter:
+    call: QueuedCall
+    event: threading.Event = field(default_factory=threading.Event)
+    admitted: bool = False
+    reason: Reason = Reason.NONE
+
+
+@dataclass
+class GateParts:
+    """What a gate works with.
+
+    Args:
+        admission: Slots of the target.
+        ledger: Retry allowances of the chains that the target works on.
+        tickets: Tickets of this node.
+        quarantine: Requests that crash targets.
+        keys: Key rows, or None if the node has no platform.
+        spread_mark: Function that spreads a quarantine mark.
+        catch_up: Function that fetches a configuration version from a peer.
+        config_version: Function that returns the version in force.
+        clock: Monotonic clock in seconds.
+    """
+
+    admission: Admission
+    ledger: AllowanceLedger
+    tickets: TicketBook
+    quarantine: Quarantine
+    keys: KeyService | None
+    spread_mark: Callable[[Mark], None]
+    catch_up: Callable[[str, int], None]
+    config_version: Callable[[], int]
+    clock: Callable[[], float] = time.monotonic
+
+
+class Gate:
+    """Admit, claim, dispatch and answer attempts for one target.
+
+    Args:
+        parts: Collaborators.
+        node_id: Identity of this node.
+        address: Address of this node's peer port, as text.
+    """
+
+    def __init__(self, parts: GateParts, node_id: int, address: str):
+        self.parts = parts
+        self.node_id = node_id
+        self.address = address
+        self.pool: Pool | None = None
+        self.target: Target | None = None
+        self.registry = AttemptRegistry()
+        self.lock = threading.Lock()
+        self.outcomes: dict[tuple[str, str], int] = {}
+        self._waiters: dict[str, _Waiter] = {}
+        self._ticket_attempts: dict[int, str] = {}
+        self._suspect_lock = threading.Lock()
+
+    # Public operations.
+
+    def call(self, attempt: Attempt) -> Reply:
+        """Run an attempt, or return the reply of the same attempt."""
+        now = self.parts.clock()
+        deadline = now + attempt.remaining_us / 1e6
+        record, created = self.registry.begin(now, attempt.attempt_id)
+        if not created:
+            return self._await_duplicate(attempt, record, deadline)
+        reply = self._refusal(attempt, Outcome.UNKNOWN, Reason.TARGET_FAILED)
+        try:
+            reply = self._run(attempt, record, deadline)
+        finally:
+            keep = not attempt.idempotent
+            self.registry.finish(self.parts.clock(), record, reply, keep)
+        self._count(reply)
+        return reply
+
+    def cancel(self, attempt_id: str) -> bool:
+        """Cancel an attempt; return True if it never was and never will be run."""
+        record = self.registry.tombstone(self.parts.clock(), attempt_id)
+        record.canceller.cancel()
+        with self.lock:
+            waiter = self._waiters.get(attempt_id)
+            if waiter is not None and not waiter.admitted:
+                self.parts.admission.withdraw(waiter.call)
+                waiter.reason = Reason.CANCELLED
+                waiter.event.set()
+        return record.phase is Phase.TOMBSTONED
+
+    def key_status(self, holder: int, attempt_id: str, wait_s: float) -> KeyStatus:
+        """Return what this gate knows about an attempt that holds a key."""
+        if holder != self.node_id:
+            return KeyStatus("lost", None)
+        record = self.registry.find(attempt_id)
+        if record is None:
+            record = self.registry.tombstone(self.parts.clock(), attempt_id)
+        if record.phase is Phase.TOMBSTONED:
+            return KeyStatus("never", None)
+        if not record.done.wait(wait_s):
+            return KeyStatus("running", None)
+        return KeyStatus("finished", record.reply)
+
+    def issue_tickets(self, count: int) -> list[str]:
+        """Return new tickets, or none if no target is served."""
+        with self.lock:
+            if self.target is None or self.parts.admission.draining:
+                return []
+            return self.parts.tickets.issue(self.parts.clock(), count)
+
+    def cancel_ticket(self, text: str) -> str:
+        """Cancel a ticket that was not used; return its state."""
+        ticket = parse_ticket(text)
+        if ticket is None:
+            return str(TicketState.FOREIGN)
+        with self.lock:
+            return str(self.parts.tickets.cancel(self.parts.clock(), ticket))
+
+    def drain(self) -> None:
+        """Refuse new work from now on, waiting calls included."""
+        with self.lock:
+            self.parts.admission.draining = True
+            for call in self.parts.admission.drop_all():
+                self._wake(call, Reason.DRAINING)
+
+    def adopt(self, pool: Pool, target: Target) -> None:
+        """Serve a pool with a target."""
+        with self.lock:
+            self.pool = pool
+            self.target = target
+            admission = self.parts.admission
+            admission.limit.resize(pool.min_limit, pool.limit_ceiling)
+            admission.capacity = pool.queue_capacity
+            admission.draining = False
+
+    def resize(self, pool: Pool) -> None:
+        """Adopt changed bounds of the pool."""
+        with self.lock:
+            self.pool = pool
+            admission = self.parts.admission
+            admission.limit.resize(pool.min_limit, pool.limit_ceiling)
+            admission.capacity = pool.queue_capacity
+
+    # One attempt.
+
+    def _run(self, attempt: Attempt, record: AttemptRecord, deadline: float) -> Reply:
+        parts = self.parts
+        if attempt.config_version > parts.config_version():
+            parts.catch_up(attempt.source, attempt.config_version)
+        ticket = parse_ticket(attempt.key) if attempt.key else None
+        if ticket is not None:
+            with self.lock:
+                state = parts.tickets.start(parts.clock(), ticket)
+                if state is TicketState.FRESH:
+                    self._ticket_attempts[ticket.serial] = attempt.attempt_id
+            if state is not TicketState.FRESH:
+                return self._used_ticket(attempt, ticket.serial, state, deadline)
+            reply = self._admit(attempt, record, deadline)
+            with self.lock:
+                if reply.outcome == Outcome.NOT_RUN:
+                    parts.tickets.revoke(parts.clock(), ticket)
+                else:
+                    parts.tickets.finish(parts.clock(), ticket)
+                reply.ticket = parts.tickets.issue(parts.clock(), 1)[0]
+            return reply
+        return self._admit(attempt, record, deadline)
+
+    def _used_ticket(
+        self, attempt: Attempt, serial: int, state: TicketState, deadline: float
+    ) -> Reply:
+        if state is TicketState.CANCELLED:
+            reply = self._refusal(attempt, Outcome.NOT_RUN, Reason.TICKET_SPENT)
+            with self.lock:
+                reply.ticket = self.parts.tickets.issue(self.parts.clock(), 1)[0]
+            return reply
+        earlier = self.registry.find(self._ticket_attempts.get(serial, ""))
+        if state is TicketState.FOREIGN or earlier is None:
+            return self._refusal(attempt, Outcome.UNKNOWN, Reason.TICKET_LOST)
+        return self._await_duplicate(attempt, earlier, deadline)
+
+    def _await_duplicate(
+        self, attempt: Attempt, record: AttemptRecord, deadline: float
+    ) -> Reply:
+        record.done.wait(max(0.0, deadline - self.parts.clock()))
+        earlier = record.reply
+        if earlier is None:
+            if record.phase is Phase.TOMBSTONED:
+                return self._refusal(attempt, Outcome.NOT_RUN, Reason.CANCELLED)
+            return self._refusal(attempt, Outcome.UNKNOWN, Reason.KEY_IN_USE)
+        return Reply(
+            attempt.attempt_id,
+            earlier.outcome,
+            earlier.reason,
+            earlier.status,
+            earlier.headers,
+            earlier.body,
+            0,
+            self._load(),
+            0,
+            self.parts.config_version(),
+            earlier.ticket,
+            earlier.key_version,
+        )
+
+    def _admit(self, attempt: Attempt, record: AttemptRecord, deadline: float) -> Reply:
+        if self.target is None:
+            return self._refusal(attempt, Outcome.NOT_RUN, Reason.NO_TARGET)
+        standing = self.parts.quarantine.standing(
+            self.parts.clock(), attempt.fingerprint
+        )
+        if standing is Standing.QUARANTINED:
+            return self._refusal(attempt, Outcome.NOT_RUN, Reason.QUARANTINED)
+        if standing is Standing.SUSPECT:
+            left = max(0.0, deadline - self.parts.clock())
+            if not self._suspect_lock.acquire(timeout=left):
+                return self._refusal(attempt, Outcome.NOT_RUN, Reason.DEADLINE)
+            try:
+                return self._queue_and_send(attempt, record, deadline)
+            finally:
+                self._suspect_lock.release()
+        return self._queue_and_send(attempt, record, deadline)
+
+    def _queue_and_send(
+        self, attempt: Attempt, record: AttemptRecord, deadline: float
+    ) -> Reply:
+        claims = not attempt.idempotent and parse_ticket(attempt.key) is None
+        call = QueuedCall(
+            attempt.attempt_id,
+            attempt.importance,
+            attempt.depth,
+            deadline,
+            attempt.route,
+            attempt.caller,
+            ready=not claims,
+        )
+        reason, waiter = self._arrive(call)
+        if reason:
+            return self._refusal(attempt, Outcome.NOT_RUN, reason)
+        claimed = 0
+        if claims:
+            claimed, refusal = self._claim(attempt, deadline)
+            if refusal is not None:
+                self._withdraw(waiter)
+                return refusal
+            with self.lock:
+                self.parts.admission.mark_ready(call)
+                self._grant()
+        reason = self._await_slot(waiter, deadline)
+        if reason:
+            return self._release(attempt, claimed, reason)
+        if self.parts.clock() >= deadline or not self.registry.dispatch(record):
+            with self.lock:
+                self.parts.admission.abandon()
+                self._grant()
+            late = Reason.DEADLINE if record.phase is Phase.WAITING else None
+            return self._release(attempt, claimed, late or Reason.CANCELLED)
+        return self._dispatch(attempt, record, call, deadline, claimed)
+
+    # Slots.
+
+    def _arrive(self, call: QueuedCall) -> tuple[Reason, _Waiter]:
+        waiter = _Waiter(call)
+        with self.lock:
+            decision = self.parts.admission.arrive(self.parts.clock(), call)
+            if decision.verdict is Verdict.REFUSE:
+                return decision.reason, waiter
+            if decision.verdict is Verdict.ADMIT:
+                waiter.admitted = True
+                return Reason.NONE, waiter
+            if decision.displaced is not None:
+                self._wake(decision.displaced, Reason.DISPLACED)
+            self._waiters[call.attempt_id] = waiter
+            self._grant()
+        return Reason.NONE, waiter
+
+    def _grant(self) -> None:
+        for call in self.parts.admission.next_calls():
+            waiter = self._waiters.get(call.attempt_id)
+            if waiter is None:
+                self.parts.admission.abandon()
+                continue
+            waiter.admitted = True
+            waiter.event.set()
+
+    def _wake(self, call: QueuedCall, reason: Reason) -> None:
+        waiter = self._waiters.get(call.attempt_id)
+        if waiter is not None:
+            waiter.reason = reason
+            waiter.event.set()
+
+    def _await_slot(self, waiter: _Waiter, deadline: float) -> Reason:
+        if waiter.admitted:
+            return self._forget(waiter)
+        waiter.event.wait(max(0.0, deadline - self.parts.clock()))
+        with self.lock:
+            if not waiter.admitted and not waiter.reason:
+                self.parts.admission.withdraw(waiter.call)
+                waiter.reason = Reason.DEADLINE
+        return self._forget(waiter)
+
+    def _forget(self, waiter: _Waiter) -> Reason:
+        with self.lock:
+            self._waiters.pop(waiter.call.attempt_id, None)
+        return Reason.NONE if waiter.admitted else waiter.reason
+
+    def _withdraw(self, waiter: _Waiter) -> None:
+        with self.lock:
+            self._waiters.pop(waiter.call.attempt_id, None)
+            if waiter.admitted:
+                self.parts.admission.abandon()
+            else:
+                self.parts.admission.withdraw(waiter.call)
+            self._grant()
+
+    # Keys.
+
+    def _claim(self, attempt: Attempt, deadline: float) -> tuple[int, Reply | None]:
+        if self.parts.keys is None:
+            reason = Reason.STORE_UNAVAILABLE
+            return 0, self._refusal(attempt, Outcome.NOT_RUN, reason)
+        mine = self._row(attempt, KeyState.CLAIMED)
+        write = KeyWrite(attempt.key, attempt.key_base, mine)
+        for _ in range(CLAIM_ATTEMPTS):
+            left = min(CLAIM_TIMEOUT_S, deadline - self.parts.clock())
+            if left <= 0:
+                break
+            try:
+                result = self.parts.keys.write(write, left)
+            except PlatformTimeout:
+                try:
+                    result = self.parts.keys.read(attempt.key, left)
+                except PlatformError:
+                    continue
+            except PlatformError:
+                break
+            verdict = judge_claim(
+                result.applied, result.version, result.row, attempt.key_base, mine
+            )
+            if verdict is ClaimVerdict.MINE:
+                return result.version, None
+            if verdict is ClaimVerdict.TAKEN:
+                reason = Reason.KEY_IN_USE
+                return 0, self._refusal(attempt, Outcome.NOT_RUN, reason)
+        reason = Reason.STORE_UNAVAILABLE
+        return 0, self._refusal(attempt, Outcome.NOT_RUN, reason)
+
+    def _release(self, attempt: Attempt, claimed: int, reason: Reason) -> Reply:
+        reply = self._refusal(attempt, Outcome.NOT_RUN, reason)
+        if claimed and self.parts.keys is not None:
+            row = self._row(attempt, KeyState.RELEASED)
+            try:
+                write = KeyWrite(attempt.key, claimed, row)
+                result = self.parts.keys.write(write, CLAIM_TIMEOUT_S)
+            except PlatformError:
+                return reply
+            if result.applied:
+                reply.key_version = result.version
+        return reply
+
+    def _row(self, attempt: Attempt, state: KeyState, answer: str = "") -> KeyRow:
+        return KeyRow(
+            state,
+            attempt.attempt_id,
+            f"{self.node_id:x}",
+            self.address,
+            answer,
+            time.time(),
+        )
+
+    # Dispatch.
+
+    def _dispatch(
+        self,
+        attempt: Attempt,
+        record: AttemptRecord,
+        call: QueuedCall,
+        deadline: float,
+        claimed: int,
+    ) -> Reply:
+        parts = self.parts
+        with self.lock:
+            parts.ledger.open(
+                attempt.trace_id,
+                attempt.allowance,
+                attempt.importance,
+                attempt.depth,
+                deadline,
+                attempt.attempt_id,
+            )
+        started = parts.clock()
+        reply, sent = self._send(attempt, record, deadline)
+        elapsed = parts.clock() - started
+        with self.lock:
+            entry = parts.ledger.find(attempt.trace_id)
+            if entry is not None:
+                reply.downstream_level = entry.downstream_level
+                elapsed = max(0.0, elapsed - entry.downstream_s)
+            reply.unspent = parts.ledger.close(attempt.trace_id)
+            if not sent or (entry is not None and entry.refused_below):
+                parts.admission.abandon()
+            else:
+                failed = reply.outcome != Outcome.ANSWERED
+                failed = failed or reply.status == SHED_STATUS
+                parts.admission.finish(parts.clock(), call, elapsed, failed)
+            self._grant()
+            reply.load = self._load_locked()
+        if not sent:
+            return self._release(attempt, claimed, Reason(reply.reason))
+        if claimed and reply.outcome == Outcome.ANSWERED and parts.keys is not None:
+            row = self._row(attempt, KeyState.FINISHED, store_answer(reply))
+            parts.keys.write_later(KeyWrite(attempt.key, claimed, row))
+        return reply
+
+    def _send(
+        self, attempt: Attempt, record: AttemptRecord, deadline: float
+    ) -> tuple[Reply, bool]:
+        target = self.target
+        assert target is not None
+        left = deadline - self.parts.clock()
+        try:
+            answer = target.send(
+                attempt.method,
+                attempt.path,
+                _target_headers(attempt, left),
+                attempt.body,
+                max(0.001, left),
+                record.canceller,
+            )
+        except TargetUnreachable:
+            reason = Reason.TARGET_UNREACHABLE
+            return self._refusal(attempt, Outcome.NOT_RUN, reason), False
+        except TargetError as exc:
+            return self._failure(attempt, record, deadline, exc, target), True
+        now = self.parts.clock()
+        mark = self.parts.quarantine.observe_success(now, attempt.fingerprint)
+        if mark is not None:
+            self.parts.spread_mark(mark)
+        reply = self._refusal(attempt, Outcome.ANSWERED, Reason.NONE)
+        reply.status = answer.status
+        reply.headers = [Header(*pair) for pair in end_to_end(answer.headers)]
+        reply.body = answer.body
+        return reply, True
+
+    def _failure(
+        self,
+        attempt: Attempt,
+        record: AttemptRecord,
+        deadline: float,
+        exc: TargetError,
+        target: Target,
+    ) -> Reply:
+        if record.canceller.cancelled:
+            return self._refusal(attempt, Outcome.UNKNOWN, Reason.CANCELLED)
+        if self.parts.clock() >= deadline:
+            return self._refusal(attempt, Outcome.UNKNOWN, Reason.DEADLINE)
+        time.sleep(LOSS_CHECK_DELAY_S)
+        if not target.accepts_connections():
+            mark = self.parts.quarantine.observe_loss(
+                self.parts.clock(), attempt.fingerprint, self.node_id
+            )
+            if mark is not None:
+                self.parts.spread_mark(mark)
+        return self._refusal(attempt, Outcome.UNKNOWN, Reason.TARGET_FAILED)
+
+    # Replies.
+
+    def _refusal(self, attempt: Attempt, outcome: Outcome, reason: Reason) -> Reply:
+        return Reply(
+            attempt.attempt_id,
+            str(outcome),
+            str(reason),
+            0,
+            [],
+            b"",
+            attempt.allowance,
+            self._load(),
+            0,
+            self.parts.config_version(),
+            "",
+            0,
+        )
+
+    def _load(self) -> Load:
+        with self.lock:
+            return self._load_locked()
+
+    def _load_locked(self) -> Load:
+        admission = self.parts.admission
+        return Load(
+            admission.limit.value,
+            admission.in_flight,
+            admission.queued,
+            admission.level(self.parts.clock()),
+            int(admission.mean_service_s * 1e6),
+            admission.draining,
+        )
+
+    def _count(self, reply: Reply) -> None:
+        key = (reply.outcome, reply.reason)
+        self.outcomes[key] = self.outcomes.get(key, 0) + 1
+
+
+def _target_headers(attempt: Attempt, left_s: float) -> list[tuple[str, str]]:
+    headers = [(header.name, header.value) for header in attempt.headers]
+    headers.append((TRACEPARENT, make_traceparent(attempt.trace_id)))
+    headers.append((TIMEOUT_MS, str(max(1, int(left_s * 1000)))))
+    if attempt.key:
+        headers.append((IDEMPOTENCY_KEY, attempt.key))
+    return headers
