--- a/bench/target_standin.py
+++ b/bench/target_standin.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import signal
+import sys
 import time
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
