Measure the cost of the path; open both peer sockets on one number

Cause: the path bench's first run failed: a node took a UDP port from the system and the TCP port of that number was taken. Change: bench section 'path'; both sockets are opened together and another number is tried.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -112,13 +112,17 @@
     def __exit__(self, *_: object) -> None:
         self.stop()
 
+    @property
+    def tables_folder(self) -> Path:
+        """Return the folder with the tables to apply."""
+        return self.deployment.folder
+
     # Start.
 
     def start(self) -> None:
         """Start everything and wait until all pools are served."""
         self.start_platform()
-        if self.module == "dogwooddock":
-            apply_tables(self.deployment.folder, self.platform_url, "bench")
+        apply_tables(self.tables_folder, self.platform_url, "bench")
         for service in self.deployment.services:
             for index in range(service.targets):
                 zone = self.deployment.zones[index % len(self.deployment.zones)]
--- /dev/null
+++ b/bench/path.py
@@ -0,0 +1,241 @@
+"""Cost of the path: added latency, throughput, CPU time and memory of a node."""
+
+import asyncio
+import socket
+import threading
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from .deployments import Deployment, Service, Traffic
+from .fleet import Fleet, NodeProcess
+from .judge import percentile, print_table
+from .load import Load, RouterPolicy, plan_arrivals
+from .results import save
+from .target_standin import Behaviour
+
+CALLS_PER_S = 150
+ROUNDS = 3000
+WARM_UP = 300
+SATURATION_S = 5.0
+SATURATION_CLIENTS = 16
+
+ONE_POOL = Deployment(
+    name="path",
+    zones=("zone-a", "zone-b"),
+    services=(Service("catalog", 2, 1000, 1000),),
+    paths={"/catalog/browse": Behaviour(0.0)},
+    traffic=(Traffic("browsing", "shops", "GET", "/catalog/browse", 150, 2, 1),),
+    timeouts={"browsing": 2.0},
+)
+
+
+class EchoServer:
+    """Raw loopback echo, the floor of the machine."""
+
+    def __init__(self) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = self._listener.getsockname()
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self) -> None:
+        conn, _ = self._listener.accept()
+        conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        while data := conn.recv(65536):
+            conn.sendall(data)
+
+
+@dataclass
+class RawClient:
+    """Keep-alive HTTP/1.1 over a raw socket, to keep the client's cost small."""
+
+    address: tuple[str, int]
+
+    def __post_init__(self) -> None:
+        self.sock = socket.create_connection(self.address)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def exchange(self, request: bytes) -> float:
+        """Send a request, read the whole answer and return the seconds."""
+        started = time.perf_counter()
+        self.sock.sendall(request)
+        data = b""
+        while b"\r\n\r\n" not in data:
+            data += self._recv()
+        head, _, body = data.partition(b"\r\n\r\n")
+        lower = head.lower()
+        at = lower.index(b"content-length:") + 15
+        length = int(lower[at:].split(b"\r\n", 1)[0])
+        size = len(body)
+        while size < length:
+            size += len(self._recv())
+        return time.perf_counter() - started
+
+    def echo(self, data: bytes) -> float:
+        """Send bytes and read them back."""
+        started = time.perf_counter()
+        self.sock.sendall(data)
+        left = len(data)
+        while left:
+            left -= len(self._recv())
+        return time.perf_counter() - started
+
+    def _recv(self) -> bytes:
+        chunk = self.sock.recv(65536)
+        if not chunk:
+            raise ConnectionError("closed by the peer")
+        return chunk
+
+
+def _request(address: str) -> bytes:
+    return (
+        "GET /catalog/browse HTTP/1.1\r\n"
+        f"Host: {address}\r\nDogwooddock-Caller: shops\r\nX-Request-Id: bench\r\n\r\n"
+    ).encode()
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def measure_latency(fleet: Fleet) -> list[dict[str, Any]]:
+    """Interleave direct, local and remote calls and the echo at a fixed rate."""
+    near, far = fleet.nodes[0], fleet.nodes[1]
+    target = fleet.hosts["catalog"].targets[near.name]
+    _only_target(fleet, near)
+    echo = EchoServer()
+    payload = b"x" * 600
+    clients = {
+        "direct": RawClient(_split(target)),
+        "local": RawClient(_split(near.router)),
+        "remote": RawClient(_split(far.router)),
+    }
+    raw = RawClient(echo.address)
+    samples: dict[str, list[float]] = {name: [] for name in (*clients, "echo")}
+    period = 1.0 / CALLS_PER_S
+    at = time.perf_counter()
+    for index in range(WARM_UP + ROUNDS):
+        for name, client in clients.items():
+            at += period
+            time.sleep(max(0.0, at - time.perf_counter()))
+            seconds = client.exchange(_request("bench"))
+            if index >= WARM_UP:
+                samples[name].append(seconds)
+        if index >= WARM_UP:
+            samples["echo"].append(raw.echo(payload))
+    return [_latency_row(name, samples) for name in ("echo", *clients)]
+
+
+def _only_target(fleet: Fleet, near: NodeProcess) -> None:
+    far = next(node for node in fleet.nodes if node is not near)
+    fleet.hosts["catalog"].command(name=far.name, action="leave")
+    time.sleep(1.5)
+
+
+def _latency_row(name: str, samples: dict[str, list[float]]) -> dict[str, Any]:
+    values = [value * 1000 for value in samples[name]]
+    direct = [value * 1000 for value in samples["direct"]]
+    added = name in ("local", "remote")
+    row = {
+        "path": name,
+        "p50_ms": round(percentile(values, 0.5), 3),
+        "p90_ms": round(percentile(values, 0.9), 3),
+        "p99_ms": round(percentile(values, 0.99), 3),
+        "added_p50_ms": "",
+        "added_p99_ms": "",
+    }
+    if added:
+        for share, key in ((0.5, "added_p50_ms"), (0.99, "added_p99_ms")):
+            gap = percentile(values, share) - percentile(direct, share)
+            row[key] = round(gap, 3)
+    return row
+
+
+def measure_cpu(fleet: Fleet) -> dict[str, Any]:
+    """Measure a node's CPU time per call at the load of full size."""
+    near = fleet.nodes[0]
+    before = fleet.state(near)["process"]["cpu_s"]
+    idle_from = time.monotonic()
+    time.sleep(3.0)
+    idle = fleet.state(near)["process"]["cpu_s"] - before
+    idle_share = idle / (time.monotonic() - idle_from)
+    arrivals = plan_arrivals(ONE_POOL.traffic, 8.0, lambda _: 1.0, 3)
+    load = Load(ONE_POOL, lambda: [near.router], RouterPolicy(), 3)
+    before = fleet.state(near)["process"]["cpu_s"]
+    started = time.monotonic()
+    asyncio.run(load.run(arrivals, []))
+    spent = fleet.state(near)["process"]["cpu_s"] - before
+    spent -= idle_share * (time.monotonic() - started)
+    return {
+        "calls": len(arrivals),
+        "cpu_us_per_call": round(spent / len(arrivals) * 1e6, 1),
+        "idle_cpu_percent": round(idle_share * 100, 2),
+        "rss_mb": round(fleet.state(near)["process"]["max_rss_kb"] / 1024, 1),
+    }
+
+
+def measure_saturation(fleet: Fleet) -> dict[str, Any]:
+    """Measure the calls per second of one node with closed-loop clients."""
+    near = fleet.nodes[0]
+    counts = [0] * SATURATION_CLIENTS
+    deadline = time.monotonic() + SATURATION_S
+
+    def run(index: int) -> None:
+        client = RawClient(_split(near.router))
+        while time.monotonic() < deadline:
+            client.exchange(_request("bench"))
+            counts[index] += 1
+
+    threads = [
+        threading.Thread(target=run, args=(index,))
+        for index in range(SATURATION_CLIENTS)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return {"calls_per_s": round(sum(counts) / SATURATION_S)}
+
+
+def main() -> dict[str, Any]:
+    """Run the section."""
+    with TemporaryDirectory(prefix="dogwooddock-path-") as folder:
+        tables = Path(folder) / "tables"
+        _write_tables(tables)
+        deployment = ONE_POOL
+        with _PathFleet(deployment, Path(folder), tables) as fleet:
+            latency = measure_latency(fleet)
+            cpu = measure_cpu(fleet)
+            saturation = measure_saturation(fleet)
+    print_table(latency)
+    print_table([{**cpu, **saturation}])
+    document = {"latency": latency, "cpu": cpu, "saturation": saturation}
+    save("path", document)
+    return document
+
+
+class _PathFleet(Fleet):
+    def __init__(self, deployment: Deployment, folder: Path, tables: Path):
+        super().__init__(deployment, folder, node_options=("--log-level", "info"))
+        self._tables = tables
+
+    @property
+    def tables_folder(self) -> Path:
+        """Return the folder with the tables of this section."""
+        return self._tables
+
+
+def _write_tables(folder: Path) -> None:
+    folder.mkdir()
+    (folder / "pools.toml").write_text(
+        '[[pool]]\nname = "catalog"\nservice = "catalog"\n'
+        "slots = 1000\nconnections = 1000\nmin_limit = 32\n"
+    )
+    (folder / "routes.toml").write_text(
+        '[[route]]\nname = "browse"\ncaller = "shops"\nmethod = "GET"\n'
+        'path = "/catalog/browse"\npool = "catalog"\nkind = "browsing"\n'
+        "importance = 2\nidempotent = true\ntimeout_ms = 2000\n"
+    )
--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,26 @@
+"""Run bench sections: ``python -m bench.run [SECTION ...]``."""
+
+import importlib
+import sys
+import time
+
+SECTIONS = ("path", "claims", "faults", "control", "overload")
+
+
+def main() -> int:
+    """Run the named sections, or all of them."""
+    chosen = sys.argv[1:] or list(SECTIONS)
+    for name in chosen:
+        if name not in SECTIONS:
+            print(f"unknown section {name!r}; use {', '.join(SECTIONS)}")
+            return 2
+    for name in chosen:
+        started = time.monotonic()
+        print(f"== {name}")
+        importlib.import_module(f"bench.{name}").main()
+        print(f"== {name} took {time.monotonic() - started:.0f} s")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/dogwooddock/node.py
+++ b/dogwooddock/node.py
@@ -3,7 +3,6 @@
 __all__ = ["Node"]
 
 import os
-import socket
 import threading
 import time
 from dataclasses import dataclass, field
@@ -23,6 +22,8 @@
 from .peers.fleet import NodeFleet, PeerHandler
 from .peers.gossip import Gossip, GossipEvents
 from .peers.server import PeerServer
+from .peers.sockets import open_peer_sockets
+from .platform.base import ObjectStore, TableService
 from .platform.committer import KeyService
 from .platform.configstore import ConfigStore
 from .platform.configsync import ConfigHolder, ConfigSync
@@ -69,9 +70,16 @@
 
     Args:
         settings: Checked settings.
+        tables: Table service; by default the one at the platform's URL.
+        objects: Object store; by default the one at the platform's URL.
     """
 
-    def __init__(self, settings: NodeSettings):
+    def __init__(
+        self,
+        settings: NodeSettings,
+        tables: TableService | None = None,
+        objects: ObjectStore | None = None,
+    ):
         self.settings = settings
         seed = settings.seed or int.from_bytes(os.urandom(8), "big")
         self.rng = Random(seed)
@@ -82,7 +90,7 @@
         self._stopped = threading.Event()
         self._stop_lock = threading.Lock()
         self._open_peer_sockets()
-        self._build_platform()
+        self._build_platform(tables, objects)
         self._build_gate()
         self._build_ingress()
         self._build_control()
@@ -91,25 +99,25 @@
     # Construction.
 
     def _open_peer_sockets(self) -> None:
-        host, port = parse_address(self.settings.peer_listen)
-        self._udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        if port:
-            self._udp.bind((host, port))
-        else:
-            self._udp.bind((host, 0))
-        self.peer_address: tuple[str, int] = self._udp.getsockname()[:2]
+        self._sockets = open_peer_sockets(parse_address(self.settings.peer_listen))
+        self.peer_address = self._sockets.address
         self.peer_text = f"{self.peer_address[0]}:{self.peer_address[1]}"
 
-    def _build_platform(self) -> None:
+    def _build_platform(
+        self, tables: TableService | None, objects: ObjectStore | None
+    ) -> None:
         url = self.settings.platform_url
-        self._tables = HttpTableService(url) if url else None
+        if tables is None and url:
+            tables = HttpTableService(url)
+        if objects is None and url:
+            objects = HttpObjectStore(url)
         self._store = None
         self._contacts = None
         self.keys: KeyService | None = None
-        if self._tables is not None:
-            self._store = ConfigStore(self._tables, HttpObjectStore(url))
-            self._contacts = ContactRows(self._tables, self.settings.zone)
-            self.keys = KeyService(KeyStore(self._tables))
+        if tables is not None and objects is not None:
+            self._store = ConfigStore(tables, objects)
+            self._contacts = ContactRows(tables, self.settings.zone)
+            self.keys = KeyService(KeyStore(tables))
 
     def _build_gate(self) -> None:
         limit: ConcurrencyLimit = AdaptiveLimit(1, INITIAL_LIMIT)
@@ -177,7 +185,9 @@
             self.settings.poll_period_s,
             self.rng,
         )
-        self.gossip = Gossip(local, Random(self.rng.random()), self._udp, events)
+        self.gossip = Gossip(
+            local, Random(self.rng.random()), self._sockets.udp, events
+        )
 
     def _build_servers(self) -> None:
         settings = self.settings
@@ -187,7 +197,7 @@
             self.config.log_since,
             self.known_members,
         )
-        self.peer_server = PeerServer(self.peer_address, handler)
+        self.peer_server = PeerServer(self._sockets.tcp, handler)
         limits = ServerLimits(
             settings.threads, settings.max_body_bytes, settings.idle_timeout_s
         )
--- a/dogwooddock/peers/server.py
+++ b/dogwooddock/peers/server.py
@@ -15,7 +15,6 @@
 from .wire import Peer
 
 MAX_CONNECTIONS = 2048
-LISTEN_BACKLOG = 256
 
 log = structlog.get_logger()
 
@@ -24,14 +23,13 @@
     """Serve the peer protocol with one thread per kept connection.
 
     Args:
-        address: IP number and port to listen on; port 0 picks one.
+        listener: Listening socket.
         handler: Object with the methods of the thrift service.
     """
 
-    def __init__(self, address: tuple[str, int], handler: Any):
+    def __init__(self, listener: socket.socket, handler: Any):
         self._processor = Peer.Processor(handler)
-        self._listener = socket.create_server(address, backlog=LISTEN_BACKLOG)
-        self.address: tuple[str, int] = self._listener.getsockname()[:2]
+        self._listener = listener
         self._connections: set[socket.socket] = set()
         self._busy = 0
         self._lock = threading.Lock()
