--- a/dogwooddock/callers/keyed.py
+++ b/dogwooddock/callers/keyed.py
@@ -10,12 +10,20 @@
 from ..peers.wire.ttypes import KeyStatus, Reply
 from ..platform.committer import KeyService
 from ..platform.keystore import KeyResult, KeyWrite
-from ..policy.keys import KeyRow, KeyState, Plan, judge_release, plan_request
+from ..policy.keys import (
+    KeyRow,
+    KeyState,
+    Plan,
+    ReleaseVerdict,
+    judge_release,
+    plan_request,
+)
 from ..policy.outcomes import Outcome, Reason
 from ..targets.answers import load_answer
 
 STORE_TIMEOUT_S = 1.0
 SETTLE_GRACE_S = 0.5
+SETTLE_ATTEMPTS = 4
 
 AskHolder = Callable[[int, str, str, float], KeyStatus]
 
@@ -106,15 +114,20 @@
             "",
             time.time(),
         )
-        try:
-            result = self._keys.write(KeyWrite(key, base, row), STORE_TIMEOUT_S)
-        except PlatformError:
-            return KeyOutcome(Outcome.UNKNOWN, Reason.STORE_UNAVAILABLE)
-        if judge_release(result.applied, result.row):
-            return KeyOutcome(Outcome.NOT_RUN, reason)
-        if self._clock() >= deadline:
-            return KeyOutcome(Outcome.UNKNOWN, Reason.KEY_IN_USE)
-        return self._follow(key, result, deadline)
+        for _ in range(SETTLE_ATTEMPTS):
+            try:
+                result = self._keys.write(KeyWrite(key, base, row), STORE_TIMEOUT_S)
+            except PlatformError:
+                return KeyOutcome(Outcome.UNKNOWN, Reason.STORE_UNAVAILABLE)
+            verdict = judge_release(result.applied, result.row)
+            if verdict is ReleaseVerdict.SETTLED:
+                return KeyOutcome(Outcome.NOT_RUN, reason)
+            if verdict is ReleaseVerdict.TAKEN:
+                if self._clock() >= deadline:
+                    return KeyOutcome(Outcome.UNKNOWN, Reason.KEY_IN_USE)
+                return self._follow(key, result, deadline)
+            base = result.version
+        return KeyOutcome(Outcome.UNKNOWN, Reason.KEY_IN_USE)
 
     def _left(self, deadline: float) -> float:
         return max(0.0, min(STORE_TIMEOUT_S, deadline - self._clock()))
--- a/dogwooddock/policy/keys.py
+++ b/dogwooddock/policy/keys.py
@@ -12,6 +12,7 @@
     "KeyRow",
     "KeyState",
     "Plan",
+    "ReleaseVerdict",
     "judge_claim",
     "judge_release",
     "plan_request",
@@ -129,12 +130,23 @@
     return row.attempt_id == mine.attempt_id and row.holder == mine.holder
 
 
-def judge_release(applied: bool, row: KeyRow | None) -> bool:
-    """Report whether a not-run verdict holds after a release was tried.
+class ReleaseVerdict(Enum):
+    """What an ingress knows after it tried to release a key."""
 
-    The verdict holds if the release took effect, or if another request released the
-    key after the same version: either way the version moved without a claim.
+    SETTLED = "settled"
+    MOVED = "moved"
+    TAKEN = "taken"
+
+
+def judge_release(applied: bool, row: KeyRow | None) -> ReleaseVerdict:
+    """Interpret the result of a release.
+
+    A release by somebody else does not settle a request: an attempt that started
+    from that later version may still claim the key. The release has to be tried
+    again from there.
     """
     if applied:
-        return True
-    return row is not None and row.state is KeyState.RELEASED
+        return ReleaseVerdict.SETTLED
+    if row is None or row.state is KeyState.RELEASED:
+        return ReleaseVerdict.MOVED
+    return ReleaseVerdict.TAKEN
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Specification of the core protocol and its model checker."""
