--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -88,13 +88,13 @@
         folder: Path,
         seed: int = 1,
         node_options: tuple[str, ...] = (),
-        module: str = "dogwooddock",
+        command: tuple[str, ...] = ("dogwooddock",),
     ):
         self.deployment = deployment
         self.folder = folder
         self.seed = seed
         self.node_options = node_options
-        self.module = module
+        self.command = command
         self.nodes: list[NodeProcess] = []
         self.hosts: dict[str, TargetHost] = {}
         self.platform: subprocess.Popen | None = None
@@ -148,7 +148,7 @@
     def start_node(self, name: str, zone: str, pool: str, *options: str) -> NodeProcess:
         """Start one node process."""
         log = self.folder / f"{name}-{len(self.nodes)}.log"
-        command = [sys.executable, "-m", self.module, "node"]
+        command = [sys.executable, "-m", *self.command, "node"]
         command += ["--name", name, "--zone", zone]
         command += ["--platform-url", self.platform_url]
         command += [*self.node_options, *options]
--- a/dogwooddock/callers/ingress.py
+++ b/dogwooddock/callers/ingress.py
@@ -84,6 +84,7 @@
     source: str
     node_id: int
     max_in_flight: int
+    edge_allowance: int = EDGE_ALLOWANCE
     clock: Callable[[], float] = time.monotonic
 
 
@@ -167,8 +168,9 @@
         if not req.local:
             trace_id = new_trace_id()
             rank = request_rank(route.importance, trace_id)
+            allowance = self.parts.edge_allowance
             return _Chain(
-                trace_id, route.importance, 0, deadline, EDGE_ALLOWANCE, rank, True
+                trace_id, route.importance, 0, deadline, allowance, rank, True
             )
         with self.parts.ledger_lock:
             entry = self.parts.ledger.find(req.trace_id)
--- a/dogwooddock/platform/configsync.py
+++ b/dogwooddock/platform/configsync.py
@@ -23,7 +23,7 @@
 from .configstore import ConfigStore
 
 MAX_BACKOFF_S = 8.0
-FALLBACK_POLL_S = 20.0
+FALLBACK_POLL_S = 300.0
 
 PullFrom = Callable[[tuple[str, int], int], LogSlice]
 
@@ -121,6 +121,7 @@
         overdue = now - self._last_read > FALLBACK_POLL_S * self._rng.uniform(1, 3)
         fresh = self._holder.version == 0
         if not (fresh or overdue or self._is_poller()):
+            self._next_poll = now + self._period_s
             return
         self._last_read = now
         try:
