--- a/bench/control.py
+++ b/bench/control.py
@@ -318,17 +318,19 @@
 
 def check_on_the_wire() -> dict[str, Any]:
     """Compare real nodes' gossip with the in-process figures at the same size."""
-    with TemporaryDirectory(prefix="dogwooddock-control-") as folder:
-        with Fleet(KALEMTAS, Path(folder)) as fleet:
-            time.sleep(8)
-            before = [fleet.state(node)["gossip"] for node in fleet.nodes]
-            cpu = [fleet.state(node)["process"]["cpu_s"] for node in fleet.nodes]
-            counts = _counts(fleet)
-            time.sleep(15)
-            after = [fleet.state(node)["gossip"] for node in fleet.nodes]
-            cpu_after = [fleet.state(node)["process"]["cpu_s"] for node in fleet.nodes]
-            counts_after = _counts(fleet)
-            size = len(fleet.nodes)
+    with (
+        TemporaryDirectory(prefix="dogwooddock-control-") as folder,
+        Fleet(KALEMTAS, Path(folder)) as fleet,
+    ):
+        time.sleep(8)
+        before = [fleet.state(node)["gossip"] for node in fleet.nodes]
+        cpu = [fleet.state(node)["process"]["cpu_s"] for node in fleet.nodes]
+        counts = _counts(fleet)
+        time.sleep(15)
+        after = [fleet.state(node)["gossip"] for node in fleet.nodes]
+        cpu_after = [fleet.state(node)["process"]["cpu_s"] for node in fleet.nodes]
+        counts_after = _counts(fleet)
+        size = len(fleet.nodes)
     messages = sum(
         b["messages"] - a["messages"] for a, b in zip(before, after, strict=True)
     )
--- a/bench/virtual.py
+++ b/bench/virtual.py
@@ -45,7 +45,7 @@
     stopped: set[int] = field(default_factory=set)
     cut: set[int] = field(default_factory=set)
     counters: Counters = field(default_factory=Counters)
-    on_version: Callable[[int, int], None] | None = None
+    on_version: Callable[[int, int], object] | None = None
 
     def __post_init__(self) -> None:
         self.rng = Random(self.seed)
