Pass key reads and writes to a batcher in the availability zone

Cause: 4,400 keyed requests a second at full size would need as many reads and writes as there are requests; the platform takes several hundred writes.

--- a/dogwooddock/callers/keyed.py
+++ b/dogwooddock/callers/keyed.py
@@ -65,7 +65,7 @@
     def begin(self, key: str, deadline: float) -> KeyOutcome:
         """Decide how a request that has just arrived goes on."""
         try:
-            result = self._keys.read(key, self._left(deadline))
+            result = self._keys.read_key(key, self._left(deadline))
         except PlatformError:
             return KeyOutcome(Outcome.UNKNOWN, Reason.STORE_UNAVAILABLE)
         return self._follow(key, result, deadline)
@@ -116,7 +116,7 @@
         )
         for _ in range(SETTLE_ATTEMPTS):
             try:
-                result = self._keys.write(KeyWrite(key, base, row), STORE_TIMEOUT_S)
+                result = self._keys.write_key(KeyWrite(key, base, row), STORE_TIMEOUT_S)
             except PlatformError:
                 return KeyOutcome(Outcome.UNKNOWN, Reason.STORE_UNAVAILABLE)
             verdict = judge_release(result.applied, result.row)
--- a/dogwooddock/node.py
+++ b/dogwooddock/node.py
@@ -17,6 +17,7 @@
 from .callers.watcher import DepartureWatcher
 from .errors import PeerError
 from .operators.admin import AdminServer
+from .peers.batching import ZoneBatches
 from .peers.client import PeerConnections
 from .peers.codec import from_wire_member
 from .peers.fleet import NodeFleet, PeerHandler
@@ -24,7 +25,7 @@
 from .peers.server import PeerServer
 from .peers.sockets import open_peer_sockets
 from .platform.base import ObjectStore, TableService
-from .platform.committer import KeyService
+from .platform.committer import DirectBatches, KeyService
 from .platform.configstore import ConfigStore
 from .platform.configsync import ConfigHolder, ConfigSync
 from .platform.contacts import ContactRows
@@ -32,7 +33,7 @@
 from .platform.keystore import KeyStore
 from .policy.admission import Admission
 from .policy.allowance import AllowanceLedger
-from .policy.configlog import LogSlice, poller_rank
+from .policy.configlog import LogSlice, first_ranked, poller_rank
 from .policy.levels import LevelTable
 from .policy.limits import AdaptiveLimit, ConcurrencyLimit, StaticLimit
 from .policy.membership import Member, MemberState
@@ -50,6 +51,7 @@
 CONTACT_PERIOD_S = 5.0
 LEAVE_SPREAD_S = 0.3
 RESERVED_THREADS = 8
+MAX_DIRECT_WRITERS = 2
 
 log = structlog.get_logger()
 
@@ -63,6 +65,7 @@
 @dataclass
 class _Members:
     by_id: dict[int, Member] = field(default_factory=dict)
+    batcher: tuple[str, int] | None = None
 
 
 class Node:
@@ -90,6 +93,7 @@
         self._stopped = threading.Event()
         self._stop_lock = threading.Lock()
         self._open_peer_sockets()
+        self.connections = PeerConnections()
         self._build_platform(tables, objects)
         self._build_gate()
         self._build_ingress()
@@ -113,11 +117,15 @@
             objects = HttpObjectStore(url)
         self._store = None
         self._contacts = None
+        self.batches: KeyService | None = None
         self.keys: KeyService | None = None
         if tables is not None and objects is not None:
             self._store = ConfigStore(tables, objects)
             self._contacts = ContactRows(tables, self.settings.zone)
-            self.keys = KeyService(KeyStore(tables))
+            direct = DirectBatches(KeyStore(tables))
+            self.batches = KeyService(direct)
+            zone = ZoneBatches(self.batches, self.connections, self._find_batcher)
+            self.keys = KeyService(zone, 0.0, 0.0)
 
     def _build_gate(self) -> None:
         limit: ConcurrencyLimit = AdaptiveLimit(1, INITIAL_LIMIT)
@@ -139,7 +147,6 @@
         self.gate = Gate(parts, self.node_id, self.peer_text)
 
     def _build_ingress(self) -> None:
-        self.connections = PeerConnections()
         self.fleet = NodeFleet(self.gate, self.connections, self._find_member)
         keyed = None
         if self.keys is not None:
@@ -193,7 +200,7 @@
         settings = self.settings
         handler = PeerHandler(
             self.gate,
-            self.keys,
+            self.batches,
             self.config.log_since,
             self.known_members,
         )
@@ -257,8 +264,9 @@
         self.sync.stop()
         self.gossip.stop()
         self.watcher.stop()
-        if self.keys is not None:
-            self.keys.stop()
+        for service in (self.keys, self.batches):
+            if service is not None:
+                service.stop()
         self.connections.close()
         self.admin.stop()
         log.info("node_stopped")
@@ -296,6 +304,18 @@
             if member.zone == zone and member.state <= MemberState.SUSPECT
         ]
 
+    def _choose_batcher(self) -> tuple[str, int] | None:
+        zone_members = self._zone_members()
+        if len(zone_members) <= MAX_DIRECT_WRITERS:
+            return None
+        chosen = first_ranked(zone_members)
+        if chosen == self.node_id:
+            return None
+        return self._members.by_id[chosen].address
+
+    def _find_batcher(self) -> tuple[str, int] | None:
+        return self._members.batcher
+
     def _on_members(self, members: dict[int, Member]) -> None:
         gone = [
             member.address
@@ -303,6 +323,7 @@
             if member.state >= MemberState.DEAD
         ]
         self._members = _Members(members)
+        self._members.batcher = self._choose_batcher()
         by_pool: dict[str, list[tuple[int, str]]] = {
             pool.name: [] for pool in self.config.tables.pools
         }
--- a/dogwooddock/peers/fleet.py
+++ b/dogwooddock/peers/fleet.py
@@ -5,13 +5,14 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from ..errors import PeerUnreachable
-from ..platform.committer import KeyService
+from ..errors import PeerUnreachable, PlatformUnavailable
+from ..platform.committer import KeyBatches
 from ..platform.keystore import KeyWrite
 from ..policy.configlog import LogSlice
 from ..policy.keys import KeyRow
 from ..policy.membership import Member
 from ..policy.tickets import parse_ticket
+from .batching import to_wire
 from .client import PeerConnections
 from .codec import to_wire_member
 from .wire.ttypes import (
@@ -121,7 +122,7 @@
     def __init__(
         self,
         gate: "Gate",
-        keys: KeyService | None,
+        keys: KeyBatches | None,
         log_since: Callable[[int], LogSlice],
         members: Callable[[], list[Member]],
     ):
@@ -155,20 +156,19 @@
 
     def write_claims(self, writes: list[ClaimWrite]) -> list[ClaimResult]:
         """Commit key writes for another node of the availability zone."""
-        if self._keys is None:
-            return []
         batch = [
             KeyWrite(write.key, write.base, KeyRow.loads(write.row)) for write in writes
         ]
-        results = self._keys.commit_batch(batch)
-        return [
-            ClaimResult(
-                "applied" if result.applied else "conflict",
-                result.version,
-                result.row.dumps() if result.row else "",
-            )
-            for result in results
-        ]
+        return to_wire(self._batches().commit(batch))
+
+    def read_claims(self, keys: list[str]) -> list[ClaimResult]:
+        """Read key rows for another node of the availability zone."""
+        return to_wire(self._batches().read(keys))
+
+    def _batches(self) -> KeyBatches:
+        if self._keys is None:
+            raise PlatformUnavailable("this node has no platform; set --platform-url")
+        return self._keys
 
     def pull_config(self, position: int) -> ConfigLog:
         """Return what brings a replica forward from a position."""
--- a/dogwooddock/peers/peer.thrift
+++ b/dogwooddock/peers/peer.thrift
@@ -113,6 +113,7 @@
   list<string> issue_tickets(1: i32 count)
   string cancel_ticket(1: string ticket)
   list<ClaimResult> write_claims(1: list<ClaimWrite> writes)
+  list<ClaimResult> read_claims(1: list<string> keys)
   ConfigLog pull_config(1: i64 position)
   list<Member> pull_members(1: i64 requester)
 }
--- a/dogwooddock/peers/wire/Peer.py
+++ b/dogwooddock/peers/wire/Peer.py
@@ -69,6 +69,14 @@
         """
         pass
 
+    def read_claims(self, keys):
+        """
+        Parameters:
+         - keys
+
+        """
+        pass
+
     def pull_config(self, position):
         """
         Parameters:
@@ -289,6 +297,38 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "write_claims failed: unknown result")
 
+    def read_claims(self, keys):
+        """
+        Parameters:
+         - keys
+
+        """
+        self.send_read_claims(keys)
+        return self.recv_read_claims()
+
+    def send_read_claims(self, keys):
+        self._oprot.writeMessageBegin('read_claims', TMessageType.CALL, self._seqid)
+        args = read_claims_args()
+        args.keys = keys
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_read_claims(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = read_claims_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "read_claims failed: unknown result")
+
     def pull_config(self, position):
         """
         Parameters:
@@ -364,6 +404,7 @@
         self._processMap["issue_tickets"] = Processor.process_issue_tickets
         self._processMap["cancel_ticket"] = Processor.process_cancel_ticket
         self._processMap["write_claims"] = Processor.process_write_claims
+        self._processMap["read_claims"] = Processor.process_read_claims
         self._processMap["pull_config"] = Processor.process_pull_config
         self._processMap["pull_members"] = Processor.process_pull_members
         self._on_message_begin = None
@@ -526,6 +567,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_read_claims(self, seqid, iprot, oprot):
+        args = read_claims_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = read_claims_result()
+        try:
+            result.success = self._handler.read_claims(args.keys)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("read_claims", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_pull_config(self, seqid, iprot, oprot):
         args = pull_config_args()
         args.read(iprot)
@@ -1500,6 +1564,168 @@
 )
 
 
+class read_claims_args(object):
+    """
+    Attributes:
+     - keys
+
+    """
+
+    __slots__ = (
+        'keys',
+    )
+
+
+    def __init__(self, keys=None,):
+        self.keys = keys
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.keys = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keys.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('read_claims_args')
+        if self.keys is not None:
+            oprot.writeFieldBegin('keys', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.keys))
+            for iter62 in self.keys:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(read_claims_args)
+read_claims_args.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'keys', (TType.STRING, 'UTF8', False), None, ),  # 1
+)
+
+
+class read_claims_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+    __slots__ = (
+        'success',
+    )
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.LIST:
+                    self.success = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = ClaimResult()
+                        _elem68.read(iprot)
+                        self.success.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('read_claims_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.LIST, 0)
+            oprot.writeListBegin(TType.STRUCT, len(self.success))
+            for iter69 in self.success:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(read_claims_result)
+read_claims_result.thrift_spec = (
+    (0, TType.LIST, 'success', (TType.STRUCT, [ClaimResult, None], False), None, ),  # 0
+)
+
+
 class pull_config_args(object):
     """
     Attributes:
@@ -1746,11 +1972,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = Member()
-                        _elem61.read(iprot)
-                        self.success.append(_elem61)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = Member()
+                        _elem75.read(iprot)
+                        self.success.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1767,8 +1993,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter62 in self.success:
-                iter62.write(oprot)
+            for iter76 in self.success:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/dogwooddock/policy/configlog.py
+++ b/dogwooddock/policy/configlog.py
@@ -1,6 +1,6 @@
 """Configuration held by a node: tables, recent change log, forward-only versions."""
 
-__all__ = ["ConfigReplica", "LogSlice", "poller_rank"]
+__all__ = ["ConfigReplica", "LogSlice", "first_ranked", "poller_rank"]
 
 import hashlib
 from collections import deque
@@ -81,11 +81,16 @@
         self._log.append(edit)
 
 
+def _weight(node_id: int) -> bytes:
+    return hashlib.blake2b(node_id.to_bytes(8, "big"), digest_size=8).digest()
+
+
 def poller_rank(node_id: int, zone_members: Iterable[int]) -> int:
-    """Return the position of a node in its availability zone's poller order."""
+    """Return the position of a node in its availability zone's order."""
+    own = _weight(node_id)
+    return sum(1 for item in zone_members if _weight(item) < own)
 
-    def weight(item: int) -> bytes:
-        return hashlib.blake2b(item.to_bytes(8, "big"), digest_size=8).digest()
 
-    own = weight(node_id)
-    return sum(1 for item in zone_members if weight(item) < own)
+def first_ranked(zone_members: Iterable[int]) -> int:
+    """Return the node that comes first in its availability zone's order."""
+    return min(zone_members, key=_weight)
--- a/dogwooddock/targets/gate.py
+++ b/dogwooddock/targets/gate.py
@@ -359,10 +359,10 @@
             if left <= 0:
                 break
             try:
-                result = self.parts.keys.write(write, left)
+                result = self.parts.keys.write_key(write, left)
             except PlatformTimeout:
                 try:
-                    result = self.parts.keys.read(attempt.key, left)
+                    result = self.parts.keys.read_key(attempt.key, left)
                 except PlatformError:
                     continue
             except PlatformError:
@@ -384,7 +384,7 @@
             row = self._row(attempt, KeyState.RELEASED)
             try:
                 write = KeyWrite(attempt.key, claimed, row)
-                result = self.parts.keys.write(write, CLAIM_TIMEOUT_S)
+                result = self.parts.keys.write_key(write, CLAIM_TIMEOUT_S)
             except PlatformError:
                 return reply
             if result.applied:
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,186 @@
+"""A small fleet of real nodes in this process, with faults at the interfaces."""
+
+import http.client
+import json
+import threading
+import time
+
+from dogwooddock.errors import PlatformTimeout, PlatformUnavailable, TargetError
+from dogwooddock.node import Node
+from dogwooddock.platform.base import TableService
+from dogwooddock.platform.configstore import ConfigStore
+from dogwooddock.platform.memory import MemoryObjectStore, MemoryTableService
+from dogwooddock.settings import validate_settings
+from dogwooddock.tables import Pool, Route, build_tables
+from dogwooddock.targets.client import MemoryTarget, TargetAnswer
+
+WAIT_S = 20.0
+
+
+class FaultyTables(TableService):
+    """In-memory tables that can be down, or lose the answers of writes."""
+
+    def __init__(self):
+        self.inner = MemoryTableService()
+        self.down = False
+        self.lose_key_answers = 0
+
+    def _check(self):
+        if self.down:
+            raise PlatformUnavailable("down")
+
+    def read(self, table, keys):
+        self._check()
+        return self.inner.read(table, keys)
+
+    def scan(self, table, after, limit):
+        self._check()
+        return self.inner.scan(table, after, limit)
+
+    def commit(self, table, writes, atomic=False):
+        self._check()
+        results = self.inner.commit(table, writes, atomic)
+        if self.lose_key_answers and table == "keys":
+            self.lose_key_answers -= 1
+            raise PlatformTimeout("answer lost")
+        return results
+
+
+class RecordingTarget(MemoryTarget):
+    """Target that records what it ran and answers with the request's body."""
+
+    def __init__(self):
+        super().__init__(self.run)
+        self.ran = []
+        self.gate = threading.Event()
+        self.gate.set()
+        self.fail = None
+        self.alive = True
+
+    def send(self, method, path, headers, body, timeout_s, canceller):
+        self.ran.append((method, path, body))
+        if not self.gate.wait(timeout_s):
+            raise TargetError("late")
+        return self.run(method, path, body)
+
+    def run(self, method, path, body):
+        if self.fail is not None:
+            raise self.fail
+        return TargetAnswer(200, [("Content-Type", "text/plain")], b"ran " + body)
+
+    def accepts_connections(self):
+        return self.alive
+
+
+def route(name, method, path, importance=5, idempotent=True, timeout_ms=2000):
+    return Route(
+        name, "shops", method, path, "orders", name, importance, idempotent, timeout_ms
+    )
+
+
+ROUTES = [
+    route("browse", "GET", "/browse", 2),
+    route("confirm", "POST", "/confirm", 9, idempotent=False),
+    route("quick", "GET", "/quick", 5, timeout_ms=300),
+    route("quick-confirm", "POST", "/quick", 9, idempotent=False, timeout_ms=300),
+]
+POOL = Pool("orders", "orders", 4, 40)
+
+
+class MiniFleet:
+    """Nodes beside recording targets, all in this process."""
+
+    def __init__(self, count=2, served=None):
+        self.tables = FaultyTables()
+        self.objects = MemoryObjectStore()
+        wanted = build_tables(ROUTES, [POOL])
+        ConfigStore(self.tables, self.objects).apply(wanted, 0, "first", "test")
+        self.nodes = []
+        self.targets = []
+        contacts = ""
+        for index in range(count):
+            settings = validate_settings(
+                {
+                    "name": f"n{index}",
+                    "zone": "zone-a",
+                    "threads": 16,
+                    "poll_period_s": 0.1,
+                    "contacts": contacts,
+                    "seed": index + 1,
+                    "idle_timeout_s": 1.0,
+                    "max_body_bytes": 64 * 1024,
+                    "drain_timeout_s": 5.0,
+                }
+            )
+            node = Node(settings, self.tables, self.objects)
+            node.start()
+            contacts = node.peer_text
+            self.nodes.append(node)
+        serving = range(count) if served is None else served
+        self.wait(lambda: all(node.config.version == 1 for node in self.nodes))
+        for index in range(count):
+            target = RecordingTarget()
+            self.targets.append(target)
+            if index in serving:
+                self.serve(index, target)
+        self.wait(lambda: all(self._sees(node, len(serving)) for node in self.nodes))
+
+    def serve(self, index, target):
+        node = self.nodes[index]
+        node.gate.adopt(POOL, target)
+        node.gate.parts.tickets.pool = POOL.name
+        node.gossip.set_pool(POOL.name)
+
+    def _sees(self, node, count):
+        return len(node.selector.candidates("orders")) == count
+
+    @staticmethod
+    def wait(condition):
+        deadline = time.monotonic() + WAIT_S
+        while not condition():
+            assert time.monotonic() < deadline, "the fleet did not settle"
+            time.sleep(0.01)
+
+    @property
+    def ran(self):
+        return [entry for target in self.targets for entry in target.ran]
+
+    def send(self, method, path, body=b"", key="", index=0, headers=None, port=None):
+        """Send one request and return (status, outcome, reason, body, headers)."""
+        address = port or self.nodes[index].router_server.address
+        conn = http.client.HTTPConnection(*address, timeout=WAIT_S)
+        sent = {"Dogwooddock-Caller": "shops", **(headers or {})}
+        if key:
+            sent["Idempotency-Key"] = key
+        conn.request(method, path, body=body or None, headers=sent)
+        answer = conn.getresponse()
+        data = answer.read()
+        conn.close()
+        return Told(answer, data)
+
+    def tickets(self, count=1, index=0):
+        body = json.dumps({"method": "POST", "path": "/confirm", "count": count})
+        told = self.send("POST", "/_dogwooddock/tickets", body.encode(), index=index)
+        return json.loads(told.body)["tickets"]
+
+    def close(self):
+        for target in self.targets:
+            target.gate.set()
+        for node in self.nodes:
+            node.settings.__dict__["drain_timeout_s"] = 0.2
+            node.stop()
+
+
+class Told:
+    """What a caller was told."""
+
+    def __init__(self, answer, body):
+        self.status = answer.status
+        self.outcome = answer.headers.get("Dogwooddock-Outcome")
+        self.reason = answer.headers.get("Dogwooddock-Reason")
+        self.ticket = answer.headers.get("Dogwooddock-Next-Ticket")
+        self.headers = answer.headers
+        self.body = body
+
+    def __repr__(self):
+        return f"{self.status} {self.outcome} {self.reason} {self.body!r}"
--- /dev/null
+++ b/tests/test_once.py
@@ -0,0 +1,172 @@
+"""At most once, and the truth: keys and tickets under faults."""
+
+import json
+import threading
+
+import pytest
+
+from dogwooddock.errors import TargetUnreachable
+
+from .helpers import RecordingTarget
+
+
+def test_resend_repeats_the_answer(fleet):
+    first = fleet.send("POST", "/confirm", b"flask", key="k1", index=0)
+    second = fleet.send("POST", "/confirm", b"flask", key="k1", index=1)
+    assert (first.status, first.body) == (200, b"ran flask")
+    assert (second.status, second.body) == (200, b"ran flask")
+    assert len(fleet.ran) == 1
+
+
+def test_resend_waits_for_the_running_attempt(fleet):
+    for target in fleet.targets:
+        target.gate.clear()
+    told = []
+
+    def send(index):
+        told.append(fleet.send("POST", "/confirm", b"f", key="same", index=index))
+
+    first = threading.Thread(target=send, args=(0,))
+    first.start()
+    fleet.wait(lambda: len(fleet.ran) == 1)
+    second = threading.Thread(target=send, args=(1,))
+    second.start()
+    for target in fleet.targets:
+        target.gate.set()
+    first.join(10)
+    second.join(10)
+    assert [item.outcome for item in told] == ["answered", "answered"]
+    assert len(fleet.ran) == 1
+
+
+@pytest.mark.parametrize("lost", [1, 2, 3])
+def test_lost_answers_of_the_store(fleet, lost):
+    fleet.tables.lose_key_answers = lost
+    told = fleet.send("POST", "/confirm", b"x", key=f"lost-{lost}")
+    assert told.outcome in ("answered", "unknown")
+    assert len(fleet.ran) <= 1
+    assert (told.outcome == "answered") == (len(fleet.ran) == 1)
+
+
+def test_store_down_keys_are_unknown_tickets_are_answered(fleet):
+    tickets = fleet.tickets(4)
+    fleet.tables.down = True
+    told = fleet.send("POST", "/confirm", b"x", key="down")
+    assert (told.outcome, told.reason) == ("unknown", "store-unavailable")
+    assert fleet.ran == []
+    for ticket in tickets:
+        assert fleet.send("POST", "/confirm", b"x", key=ticket).outcome == "answered"
+    assert len(fleet.ran) == 4
+
+
+def test_ticket_runs_once_and_brings_the_next(fleet):
+    ticket = fleet.tickets()[0]
+    first = fleet.send("POST", "/confirm", b"a", key=ticket, index=0)
+    second = fleet.send("POST", "/confirm", b"a", key=ticket, index=1)
+    assert (first.body, second.body) == (b"ran a", b"ran a")
+    assert len(fleet.ran) == 1
+    third = fleet.send("POST", "/confirm", b"b", key=first.ticket)
+    assert third.body == b"ran b"
+
+
+def test_cancelled_ticket_never_runs(fleet):
+    ticket = fleet.tickets()[0]
+    told = fleet.send("DELETE", f"/_dogwooddock/tickets/{ticket}")
+    assert json.loads(told.body) == {"state": "cancelled"}
+    late = fleet.send("POST", "/confirm", b"x", key=ticket)
+    assert (late.outcome, late.reason) == ("not-run", "ticket-spent")
+    assert late.ticket and late.ticket != ticket
+    assert fleet.ran == []
+
+
+def test_refused_ticket_never_runs_later(remote_fleet):
+    target = remote_fleet.targets[1]
+    target.fail = TargetUnreachable("refused")
+    ticket = remote_fleet.tickets()[0]
+    told = remote_fleet.send("POST", "/confirm", b"x", key=ticket)
+    assert told.outcome == "not-run"
+    target.fail = None
+    target.ran.clear()
+    again = remote_fleet.send("POST", "/confirm", b"x", key=ticket)
+    assert (again.outcome, target.ran) == ("not-run", [])
+
+
+@pytest.mark.parametrize(
+    "forge",
+    [
+        lambda ticket: ticket[:-1] + ("0" if ticket[-1] != "0" else "1"),
+        lambda ticket: ticket.replace("orders", "others"),
+    ],
+)
+def test_forged_ticket_is_not_run_and_not_called_so(fleet, forge):
+    ticket = forge(fleet.tickets()[0])
+    told = fleet.send("POST", "/confirm", b"x", key=ticket)
+    assert (told.outcome, fleet.ran) == ("unknown", [])
+
+
+def test_replaced_node_gives_unknown(remote_fleet):
+    target = remote_fleet.targets[1]
+    ticket = remote_fleet.tickets()[0]
+    key_told = remote_fleet.send("POST", "/confirm", b"big" * 3000, key="gone")
+    assert key_told.outcome == "answered"
+    remote_fleet.nodes[1].settings.__dict__["drain_timeout_s"] = 0.2
+    remote_fleet.nodes[1].stop()
+    fresh = RecordingTarget()
+    remote_fleet.serve(0, fresh)
+    remote_fleet.wait(
+        lambda: (
+            [c.node_id for c in remote_fleet.nodes[0].selector.candidates("orders")]
+            == [remote_fleet.nodes[0].node_id]
+        )
+    )
+    again = remote_fleet.send("POST", "/confirm", b"big" * 3000, key="gone")
+    by_ticket = remote_fleet.send("POST", "/confirm", b"x", key=ticket)
+    assert again.outcome == "unknown"
+    assert by_ticket.outcome == "unknown"
+    assert (len(target.ran), fresh.ran) == (1, [])
+
+
+def test_not_run_then_resend_with_the_same_key(remote_fleet):
+    target = remote_fleet.targets[1]
+    target.fail = TargetUnreachable("refused")
+    first = remote_fleet.send("POST", "/confirm", b"x", key="again")
+    assert first.outcome == "not-run"
+    target.fail = None
+    target.ran.clear()
+    second = remote_fleet.send("POST", "/confirm", b"x", key="again")
+    assert (second.outcome, len(target.ran)) == ("answered", 1)
+
+
+def test_crashing_request_is_quarantined_at_the_second_target(fleet):
+    from dogwooddock.errors import TargetError
+
+    for target in fleet.targets:
+        target.fail = TargetError("reset")
+        target.alive = False
+    first = fleet.send("POST", "/confirm", b"bad", key="poison")
+    assert first.outcome == "unknown"
+    marks = fleet.nodes[0].quarantine.listing(0.0)
+    body = fleet.send("GET", "/quarantine", port=fleet.nodes[0].admin.address).body
+    assert len(marks) <= 1
+    assert b"quarantined" not in body
+
+
+def test_duplicated_and_late_attempts_do_not_run_again(remote_fleet):
+    from dogwooddock.peers.wire.ttypes import Attempt
+
+    gate = remote_fleet.nodes[1].gate
+    attempt = Attempt(
+        "attempt-1", "t" * 32, "confirm", "shops", 9, 0, 2_000_000, 0, 1, "POST",
+        "/confirm", [], b"x", False, "dup", 0, "fp", "",
+    )  # fmt: skip
+    first = gate.call(attempt)
+    second = gate.call(attempt)
+    assert (first.outcome, second.outcome) == ("answered", "answered")
+    assert len(remote_fleet.ran) == 1
+    late = Attempt(
+        "attempt-2", "t" * 32, "confirm", "shops", 9, 0, 2_000_000, 0, 1, "POST",
+        "/confirm", [], b"x", False, "tomb", 0, "fp", "",
+    )  # fmt: skip
+    assert gate.cancel("attempt-2")
+    assert gate.call(late).outcome == "not-run"
+    assert len(remote_fleet.ran) == 1
