--- a/dogwooddock/policy/admission.py
+++ b/dogwooddock/policy/admission.py
@@ -15,7 +15,8 @@
 MIN_QUEUE = 2
 QUEUE_SHARE_LEAST = 0.5
 QUEUE_SHARE_PER_CLASS = 1 / 3
-MAX = 9
+MAX_IMPORTANCE = 9
+MAX_CALLERS = 1024
 
 
 class Verdict(Enum):
@@ -121,7 +122,9 @@
 
     def _enqueue(self, now: float, call: QueuedCall, position: int) -> Decision:
         displaced = None
-        if position >= self._room(call.importance) or self.queued >= self._room(MAX):
+        if position >= self._room(call.importance) or self.queued >= self._room(
+            MAX_IMPORTANCE
+        ):
             if position == self.queued:
                 self.levels.refused(now, call.importance)
                 return Decision(Verdict.REFUSE, Reason.OVERLOAD)
@@ -137,6 +140,8 @@
 
     def _tag(self, call: QueuedCall) -> None:
         tag = max(self._virtual_time, self._tags.get(call.caller, 0.0)) + 1.0
+        if len(self._tags) >= MAX_CALLERS:
+            self._tags.clear()
         self._tags[call.caller] = tag
         call.order = (-call.importance, -call.depth, tag, call.deadline)
 
--- a/dogwooddock/policy/retries.py
+++ b/dogwooddock/policy/retries.py
@@ -7,6 +7,7 @@
 RETRY_RATIO = 0.1
 MAX_TOKENS = 10.0
 INITIAL_TOKENS = 3.0
+MAX_PAIRS = 4096
 
 
 @dataclass
@@ -20,6 +21,8 @@
         """Account for one first attempt."""
         key = (caller, pool)
         held = self._tokens.get(key, INITIAL_TOKENS)
+        if len(self._tokens) >= MAX_PAIRS:
+            self._tokens.clear()
         self._tokens[key] = min(MAX_TOKENS, held + self.ratio)
 
     def spend(self, caller: str, pool: str) -> bool:
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,128 @@
+"""Admission of calls by importance."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dogwooddock.policy.admission import Admission, QueuedCall, Verdict
+from dogwooddock.policy.limits import AdaptiveLimit, StaticLimit
+from dogwooddock.policy.outcomes import Reason
+
+
+def call(name, importance=5, depth=0, deadline=100.0, caller="shops", ready=True):
+    return QueuedCall(name, importance, depth, deadline, "kind", caller, ready)
+
+
+def full(capacity=4, slots=1):
+    admission = Admission(StaticLimit(slots), capacity)
+    for index in range(slots):
+        running = call(f"running-{index}")
+        assert admission.arrive(0.0, running).verdict is Verdict.ADMIT
+    return admission
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "expected"),
+    [
+        (call("a", 2), call("b", 9), ["b", "a"]),
+        (call("a", 5, depth=0), call("b", 5, depth=2), ["b", "a"]),
+        (call("a", 5, deadline=9.0), call("b", 5, deadline=5.0), ["a", "b"]),
+        (call("a", 9, ready=False), call("b", 2), ["b"]),
+    ],
+)
+def test_order(first, second, expected):
+    admission = full(slots=2)
+    assert admission.arrive(0.0, first).verdict is Verdict.WAIT
+    assert admission.arrive(0.0, second).verdict is Verdict.WAIT
+    admission.abandon()
+    admission.abandon()
+    assert [item.attempt_id for item in admission.next_calls()] == expected
+
+
+def test_important_arrival_displaces_the_least_important():
+    admission = full(capacity=2)
+    waiting = [call(f"low-{index}", 1) for index in range(20)]
+    verdicts = [admission.arrive(0.0, item).verdict for item in waiting]
+    assert Verdict.REFUSE in verdicts
+    decisions = [admission.arrive(0.0, call(f"high-{i}", 9)) for i in range(6)]
+    assert all(item.verdict is Verdict.WAIT for item in decisions)
+    assert any(item.displaced is not None for item in decisions)
+
+
+def test_one_callers_surge_leaves_room_for_another():
+    admission = full(capacity=4)
+    for index in range(40):
+        admission.arrive(0.0, call(f"greedy-{index}", caller="greedy"))
+    decision = admission.arrive(0.0, call("modest", caller="modest"))
+    assert decision.verdict is Verdict.WAIT
+    admission.in_flight -= 1
+    admission.limit.resize(1, 2)
+    admitted = [item.caller for item in admission.next_calls()]
+    assert sorted(admitted) == ["greedy", "modest"]
+
+
+def test_state_per_caller_is_bounded():
+    admission = full(capacity=4)
+    for index in range(5000):
+        admission.arrive(0.0, call(f"c{index}", caller=f"caller-{index}"))
+    assert len(admission._tags) <= 1024
+
+
+def test_hopeless_call_is_refused_at_once():
+    admission = full()
+    for _ in range(50):
+        running = call("x")
+        admission.in_flight += 1
+        admission.finish(0.0, running, 1.0, failed=False)
+    decision = admission.arrive(0.0, call("late", deadline=0.2))
+    assert (decision.verdict, decision.reason) == (Verdict.REFUSE, Reason.DEADLINE)
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 9), st.integers(0, 3), st.booleans()), max_size=60
+    ),
+    st.integers(1, 4),
+    st.integers(1, 6),
+)
+def test_nothing_important_is_refused_while_less_important_waits(
+    arrivals, slots, capacity
+):
+    admission = Admission(StaticLimit(slots), capacity)
+    waiting: dict[str, int] = {}
+    for index, (importance, depth, finishes) in enumerate(arrivals):
+        if finishes and admission.in_flight:
+            admission.abandon()
+            for item in admission.next_calls():
+                waiting.pop(item.attempt_id)
+        arrival = call(f"c{index}", importance, depth)
+        decision = admission.arrive(0.0, arrival)
+        if decision.displaced is not None:
+            gone = decision.displaced
+            waiting.pop(gone.attempt_id)
+            assert gone.importance <= importance
+            assert all(gone.importance <= other for other in waiting.values())
+        if decision.verdict is Verdict.WAIT:
+            waiting[arrival.attempt_id] = importance
+        if decision.verdict is Verdict.REFUSE:
+            assert all(importance <= other for other in waiting.values())
+    assert admission.in_flight <= slots
+
+
+@pytest.mark.parametrize(
+    ("service_s", "failed", "expected"),
+    [(0.1, False, "grows"), (0.5, False, "shrinks"), (0.1, True, "shrinks")],
+)
+def test_adaptive_limit(service_s, failed, expected):
+    limit = AdaptiveLimit(1, 100)
+    now = 0.0
+    for _ in range(40):
+        now += 0.05
+        limit.record(now, "kind", 0.1, limit.value, False)
+    before = limit.value
+    for _ in range(60):
+        now += 0.05
+        limit.record(now, "kind", service_s, limit.value, failed)
+    assert (limit.value > before) == (expected == "grows")
+    assert 1 <= limit.value <= 100
