--- a/bench/overload.py
+++ b/bench/overload.py
@@ -50,6 +50,7 @@
         surge: Load factor during the trigger.
         retries: Resends of the routers, at once.
         actions: What is done to the fleet, and when.
+        tickets: Whether routers use tickets for keyed requests.
         policies: Policies that are run.
     """
 
@@ -60,6 +61,7 @@
     surge: float = 1.0
     retries: int = 0
     actions: Actions | None = None
+    tickets: bool = False
     policies: tuple[str, ...] = ("dogwooddock",)
 
     def factor(self, at: float) -> float:
@@ -143,7 +145,7 @@
         actions=_slow("proofs", 10.0), policies=("dogwooddock", "static", "none"),
     ),
     Scenario(
-        "outage-in-surge", KALEMTAS, (5.0, 15.0), 20.0, surge=3.0, actions=_outage
+        "outage-in-surge", KALEMTAS, (5.0, 15.0), 20.0, surge=3.0, actions=_outage, tickets=True,
     ),
     Scenario(
         "zone-gone", KALEMTAS, (5.0, 6.0), 20.0, retries=1, actions=_zone_gone
@@ -177,7 +179,12 @@
                 return [node.router for node in fleet.nodes if node.router not in dead]
 
             actions = scenario.actions(fleet, dead) if scenario.actions else []
-            load = Load(deployment, routers, RouterPolicy(scenario.retries), SEED)
+            load = Load(
+                deployment,
+                routers,
+                RouterPolicy(scenario.retries, scenario.tickets),
+                SEED,
+            )
             results = asyncio.run(load.run(arrivals, actions))
             executions = fleet.executions()
     report = _report(scenario, policy, results, executions)
--- a/dogwooddock/callers/server.py
+++ b/dogwooddock/callers/server.py
@@ -7,7 +7,8 @@
 import socket
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Any
 
@@ -31,7 +32,7 @@
 from .streams import ConnectionReader, ConnectionWriter
 from .watcher import DepartureWatcher
 
-LINGER_S = 0.02
+LINGER_S = 0.25
 STOP_TIMEOUT_S = 1
 LINGER_SHARE = 0.5
 READ_CHUNK_BYTES = 64 * 1024
@@ -100,9 +101,8 @@
     def _more_soon(self) -> bool:
         if self.rfile.has_data():
             return True
-        if self.server.owner.crowded:
-            return False
-        return bool(self._poll.poll(LINGER_S * 1000))
+        with self.server.owner.linger() as allowed:
+            return allowed and bool(self._poll.poll(LINGER_S * 1000))
 
 
 class _Gateway(Gateway):
@@ -174,6 +174,8 @@
         self._target_control = target_control
         self._limits = limits
         self._closing = False
+        self._lingering = 0
+        self._linger_lock = threading.Lock()
         self._server = _Server(
             address, _Gateway, minthreads=limits.threads, maxthreads=limits.threads
         )
@@ -197,14 +199,26 @@
 
     def stop(self) -> None:
         """Close the listener and the remaining connections in the background."""
-        time.sleep(LINGER_S * 2)
+        time.sleep(LINGER_S)
         self._server.shutdown_timeout = STOP_TIMEOUT_S
         threading.Thread(target=self._server.stop, daemon=True).start()
 
-    @property
-    def crowded(self) -> bool:
-        """Report whether few threads are left for new requests."""
-        return self.ingress.in_flight > self._limits.threads * LINGER_SHARE
+    @contextmanager
+    def linger(self) -> Iterator[bool]:
+        """Count a thread that waits for its connection's next request.
+
+        Yields:
+            Whether enough threads are left for other connections.
+        """
+        with self._linger_lock:
+            self._lingering += 1
+            waiting = self._lingering
+        busy = waiting + self.ingress.in_flight
+        try:
+            yield busy < self._limits.threads * LINGER_SHARE and not self._closing
+        finally:
+            with self._linger_lock:
+                self._lingering -= 1
 
     @property
     def closing(self) -> bool:
--- a/dogwooddock/policy/admission.py
+++ b/dogwooddock/policy/admission.py
@@ -10,8 +10,9 @@
 from .limits import ConcurrencyLimit
 from .outcomes import Reason
 
-SERVICE_SMOOTHING = 0.1
+SERVICE_SMOOTHING = 0.2
 INITIAL_SERVICE_S = 0.01
+ESTIMATE_HALF_LIFE_S = 1.0
 MIN_QUEUE = 2
 QUEUE_SHARE_LEAST = 0.5
 QUEUE_SHARE_PER_CLASS = 1 / 3
@@ -51,6 +52,12 @@
     order: tuple[int, int, float, float] = (0, 0, 0.0, 0.0)
 
 
+@dataclass(frozen=True, slots=True)
+class _Estimate:
+    service_s: float
+    at: float
+
+
 @dataclass(frozen=True, slots=True)
 class Decision:
     """Result of an arrival.
@@ -88,7 +95,7 @@
     draining: bool = False
     levels: LevelController = field(default_factory=LevelController)
     _queue: list[QueuedCall] = field(default_factory=list)
-    _service: dict[str, float] = field(default_factory=dict)
+    _service: dict[str, _Estimate] = field(default_factory=dict)
     _mean_service: float = INITIAL_SERVICE_S
     _tags: dict[str, float] = field(default_factory=dict)
     _virtual_time: float = 0.0
@@ -108,7 +115,7 @@
         if self.draining:
             return Decision(Verdict.REFUSE, Reason.DRAINING)
         self.levels.arrived(now, call.importance)
-        service = self._service.get(call.kind, 0.0)
+        service = self._expected_s(now, call.kind)
         if now + service * 0.5 >= call.deadline:
             return Decision(Verdict.REFUSE, Reason.DEADLINE)
         if call.ready and not self._queue and self.in_flight < self.limit.value:
@@ -149,6 +156,14 @@
         ahead = position + max(0, self.in_flight - self.limit.value + 1)
         return ahead * self._mean_service / self.limit.value
 
+    def _expected_s(self, now: float, kind: str) -> float:
+        """Return the expected service time, which fades while nothing finishes."""
+        estimate = self._service.get(kind)
+        if estimate is None:
+            return 0.0
+        idle_s = max(0.0, now - estimate.at)
+        return estimate.service_s * 0.5 ** (idle_s / ESTIMATE_HALF_LIFE_S)
+
     def mark_ready(self, call: QueuedCall) -> None:
         """Allow a waiting call to be dispatched."""
         call.ready = True
@@ -173,7 +188,7 @@
         expired = [
             call
             for call in self._queue
-            if now + self._service.get(call.kind, 0.0) * 0.5 >= call.deadline
+            if now + self._expected_s(now, call.kind) * 0.5 >= call.deadline
         ]
         if expired:
             self._queue = [call for call in self._queue if call not in expired]
@@ -208,8 +223,9 @@
         self.in_flight -= 1
         if failed:
             return
-        previous = self._service.get(call.kind, service_s)
-        self._service[call.kind] = _smooth(previous, service_s)
+        previous = self._service.get(call.kind)
+        smoothed = _smooth(previous.service_s, service_s) if previous else service_s
+        self._service[call.kind] = _Estimate(smoothed, now)
         self._mean_service = _smooth(self._mean_service, service_s)
 
     def abandon(self) -> None:
--- a/dogwooddock/policy/limits.py
+++ b/dogwooddock/policy/limits.py
@@ -8,12 +8,16 @@
 COLD_START_FRACTION = 0.25
 GROWTH_PER_WINDOW = 0.15
 LATENCY_TOLERANCE = 1.6
-SHRINK_FLOOR = 0.7
+SHRINK_STEP = 0.8
 FAILURE_SHRINK = 0.85
+FAILURE_SHARE = 0.2
+THROUGHPUT_LOSS = 0.9
+BINDING_SHARE = 0.8
 WINDOW_S = 0.25
 WINDOW_SAMPLES = 8
-BASELINE_DECAY = 0.02
-SMOOTHING = 0.3
+RELAXED_SHARE = 0.5
+BASELINE_RISE = 0.005
+BASELINE_FALL = 0.05
 
 
 class ConcurrencyLimit(ABC):
@@ -64,11 +68,6 @@
         self._ceiling = ceiling
 
 
-@dataclass(slots=True)
-class _Baseline:
-    service_s: float
-
-
 @dataclass(slots=True)
 class _Window:
     opened_at: float = 0.0
@@ -78,13 +77,23 @@
     peak_in_flight: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class _Trial:
+    """A shrink whose effect on the throughput is not known yet."""
+
+    limit: float
+    throughput: float
+    settled: bool = False
+
+
 @dataclass(slots=True)
 class AdaptiveLimit(ConcurrencyLimit):
-    """Follow the latency and the failures of a target.
+    """Follow the latency, the throughput and the failures of a target.
 
-    The limit grows while the target's own time stays near its baseline and the
-    limit is in use, and shrinks in proportion to the excess otherwise. It starts
-    at a fraction of the ceiling so that a cold target is not flooded.
+    The limit grows while the target's own time stays near its baseline and the limit
+    is in use. If the time rises, a smaller limit is tried: where that costs
+    throughput, concurrency was not the cause, so the limit is restored and the
+    baseline follows the target; otherwise the limit goes on shrinking.
 
     Args:
         floor: Lowest limit, in requests.
@@ -94,8 +103,9 @@
     floor: int
     ceiling: int
     _limit: float = 0.0
-    _baselines: dict[str, _Baseline] = field(default_factory=dict)
+    _baselines: dict[str, float] = field(default_factory=dict)
     _window: _Window = field(default_factory=_Window)
+    _trial: _Trial | None = None
 
     def __post_init__(self) -> None:
         self._limit = max(self.floor, self.ceiling * COLD_START_FRACTION)
@@ -121,30 +131,45 @@
         if failed:
             window.failures += 1
         else:
-            window.ratio_sum += self._ratio(kind, service_s)
-        full = window.samples >= WINDOW_SAMPLES
-        if full and now - window.opened_at >= WINDOW_S:
-            self._adjust(window)
+            window.ratio_sum += self._ratio(kind, service_s, in_flight)
+        elapsed = now - window.opened_at
+        if window.samples >= WINDOW_SAMPLES and elapsed >= WINDOW_S:
+            self._adjust(window, elapsed)
+            self._limit = max(self.floor, min(self.ceiling, self._limit))
             self._window = _Window(opened_at=now)
 
-    def _ratio(self, kind: str, service_s: float) -> float:
-        baseline = self._baselines.get(kind)
-        if baseline is None:
-            self._baselines[kind] = _Baseline(service_s)
-            return 1.0
-        if service_s < baseline.service_s:
-            baseline.service_s += (service_s - baseline.service_s) * SMOOTHING
-        else:
-            baseline.service_s += (service_s - baseline.service_s) * BASELINE_DECAY
-        return service_s / max(baseline.service_s, 1e-6)
+    def _ratio(self, kind: str, service_s: float, in_flight: int) -> float:
+        baseline = self._baselines.setdefault(kind, service_s)
+        weight = BASELINE_FALL
+        if service_s > baseline:
+            relaxed = in_flight < self._limit * RELAXED_SHARE
+            weight = BASELINE_RISE if relaxed else 0.0
+        self._baselines[kind] = baseline + (service_s - baseline) * weight
+        return service_s / max(baseline, 1e-6)
 
-    def _adjust(self, window: _Window) -> None:
+    def _adjust(self, window: _Window, elapsed_s: float) -> None:
         answered = window.samples - window.failures
-        if window.failures * 5 > window.samples:
+        throughput = answered / elapsed_s
+        ratio = window.ratio_sum / answered if answered else 1.0
+        binding = window.peak_in_flight >= self._limit * BINDING_SHARE
+        if window.failures > window.samples * FAILURE_SHARE:
+            self._trial = None
             self._limit *= FAILURE_SHRINK
-        elif answered and window.ratio_sum / answered > LATENCY_TOLERANCE:
-            excess = LATENCY_TOLERANCE * answered / window.ratio_sum
-            self._limit *= max(SHRINK_FLOOR, excess)
-        elif window.peak_in_flight >= self._limit * 0.8:
+        elif self._trial is not None:
+            self._judge_trial(self._trial, throughput, ratio)
+        elif binding and ratio > LATENCY_TOLERANCE:
+            self._trial = _Trial(self._limit, throughput)
+            self._limit *= SHRINK_STEP
+        elif binding:
             self._limit += max(1.0, self._limit * GROWTH_PER_WINDOW)
-        self._limit = max(float(self.floor), min(float(self.ceiling), self._limit))
+
+    def _judge_trial(self, trial: _Trial, throughput: float, ratio: float) -> None:
+        if not trial.settled:
+            self._trial = _Trial(trial.limit, trial.throughput, settled=True)
+            return
+        self._trial = None
+        if throughput >= trial.throughput * THROUGHPUT_LOSS:
+            return
+        self._limit = trial.limit
+        for kind, baseline in self._baselines.items():
+            self._baselines[kind] = baseline * max(1.0, ratio)
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,85 @@
+"""The adaptive limit against a simulated target, in virtual time."""
+
+import heapq
+from random import Random
+
+import pytest
+
+from dogwooddock.policy.limits import AdaptiveLimit, StaticLimit
+
+
+class SimulatedTarget:
+    """A target with real slots and a first-come queue, kept saturated."""
+
+    def __init__(self, limit, slots, seed=1):
+        self.limit = limit
+        self.slots = slots
+        self.rng = Random(seed)
+        self.now = 0.0
+        self.free_at = [0.0] * slots
+        self.running = []
+        self.finished = 0
+
+    def run(self, until, service_s):
+        while self.now < until:
+            while len(self.running) < self.limit.value:
+                self._start(service_s)
+            end, begun = heapq.heappop(self.running)
+            self.now = max(self.now, end)
+            self.finished += 1
+            in_flight = len(self.running) + 1
+            self.limit.record(self.now, "kind", end - begun, in_flight, False)
+
+    def _start(self, service_s):
+        begins = max(self.now, heapq.heappop(self.free_at))
+        end = begins + service_s * self.rng.lognormvariate(0.0, 0.25)
+        heapq.heappush(self.free_at, end)
+        heapq.heappush(self.running, (end, self.now))
+
+
+def test_limit_reaches_the_ceiling_of_a_fast_target():
+    limit = AdaptiveLimit(1, 20)
+    SimulatedTarget(limit, slots=40).run(10.0, 0.05)
+    assert limit.value >= 18
+
+
+def test_limit_stays_near_the_real_slots_of_an_overrated_target():
+    limit = AdaptiveLimit(1, 200)
+    SimulatedTarget(limit, slots=10).run(60.0, 0.05)
+    assert 8 <= limit.value <= 40
+
+
+@pytest.mark.parametrize("factor", [3.0, 10.0])
+def test_slow_down_that_concurrency_did_not_cause_keeps_the_throughput(factor):
+    limit = AdaptiveLimit(1, 20)
+    target = SimulatedTarget(limit, slots=20)
+    target.run(10.0, 0.05)
+    target.run(20.0, 0.05 * factor)
+    before = target.finished
+    target.run(40.0, 0.05 * factor)
+    possible = 20 / (0.05 * factor * 1.03) * 20
+    assert target.finished - before >= 0.8 * possible
+
+
+def test_recovery_after_a_slow_down():
+    limit = AdaptiveLimit(1, 20)
+    target = SimulatedTarget(limit, slots=20)
+    target.run(10.0, 0.05)
+    target.run(30.0, 0.5)
+    target.run(32.0, 0.05)
+    before = target.finished
+    target.run(36.0, 0.05)
+    possible = 20 / (0.05 * 1.03) * 4
+    assert target.finished - before >= 0.8 * possible
+
+
+@pytest.mark.parametrize("limit", [AdaptiveLimit(2, 10), StaticLimit(10)])
+def test_bounds(limit):
+    rng = Random(2)
+    now = 0.0
+    for _ in range(2000):
+        now += 0.01
+        limit.record(now, "k", rng.uniform(0.001, 5), rng.randint(1, 20), False)
+        assert 1 <= limit.value <= 10
+    limit.resize(1, 5)
+    assert limit.value <= 5
