--- a/bench/control.py
+++ b/bench/control.py
@@ -15,11 +15,14 @@
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
 from thrift.TSerialization import serialize
 
-from dogwooddock.peers.wire.ttypes import ConfigLog
+from dogwooddock.peers.codec import to_wire_member
+from dogwooddock.peers.wire.ttypes import ConfigLog, Reply
 from dogwooddock.platform.contacts import ROWS_PER_ZONE
 from dogwooddock.policy.configlog import POLLERS_PER_ZONE, ConfigReplica, poller_rank
 from dogwooddock.policy.membership import Member, Membership
+from dogwooddock.policy.selection import Selector
 from dogwooddock.tables import Edit, Pool, Route, RowChange, Tables
+from dogwooddock.targets.attempts import AttemptRegistry
 
 from .deployments import KALEMTAS
 from .fleet import Fleet
@@ -190,14 +193,75 @@
     return missing
 
 
-def measure_memory(size: int = TARGET_SIZE) -> dict[str, Any]:
-    """Measure the resident memory of one node's view of the whole fleet."""
-    gc.collect()
-    before = _rss_kb()
-    rng = Random(1)
+def measure_state(size: int = TARGET_SIZE) -> list[dict[str, Any]]:
+    """Measure the resident memory of what one node holds at full size."""
+    members = _members(size)
     local = Member(1, "node", "10.0.0.1", 7400, "zone-00", "pool")
-    membership = Membership(local, rng)
-    members = [
+    kept: list[Any] = []
+
+    def hold_members() -> int:
+        membership = Membership(local, Random(1))
+        membership.merge(0.0, _members(size))
+        kept.append(membership)
+        return size
+
+    def hold_candidates() -> int:
+        selector = Selector("zone-00")
+        for pool in range(size // 13 + 1):
+            chosen = members[pool * 13 : pool * 13 + 13]
+            selector.sync(f"pool-{pool}", [(m.node_id, m.zone) for m in chosen])
+        kept.append(selector)
+        return size
+
+    def hold_tables() -> int:
+        replica = ConfigReplica()
+        replica.adopt(Tables.loads(_tables(2000).dumps()))
+        kept.append(replica)
+        return 2000
+
+    def hold_attempts() -> int:
+        registry = AttemptRegistry()
+        for index in range(20_000):
+            record, _ = registry.begin(0.0, f"{index:024x}")
+            reply = Reply(outcome="not-run", body=b"")
+            registry.finish(0.0, record, reply, keep=True)
+        kept.append(registry)
+        return 20_000
+
+    rows = []
+    for name, hold in (
+        ("members", hold_members),
+        ("candidates", hold_candidates),
+        ("routes", hold_tables),
+        ("attempts (bound)", hold_attempts),
+    ):
+        gc.collect()
+        before = _rss_kb()
+        items = hold()
+        grown = _rss_kb() - before
+        rows.append(
+            {
+                "state": name,
+                "items": items,
+                "kb": grown,
+                "bytes_per_item": grown * 1024 // items,
+            }
+        )
+    wire = sum(len(_wire_member(member)) for member in members)
+    rows.append(
+        {
+            "state": "member list on the wire",
+            "items": size,
+            "kb": wire // 1024,
+            "bytes_per_item": wire // size,
+        }
+    )
+    return rows
+
+
+def _members(size: int) -> list[Member]:
+    rng = Random(1)
+    return [
         Member(
             rng.getrandbits(63),
             f"node-{index:05d}",
@@ -208,9 +272,11 @@
         )
         for index in range(size)
     ]
-    membership.merge(0.0, members)
-    grown = _rss_kb() - before
-    return {"members": size, "view_kb": grown, "bytes_per_member": grown * 1024 // size}
+
+
+def _wire_member(member: Member) -> bytes:
+    factory = TBinaryProtocolAcceleratedFactory()
+    return serialize(to_wire_member(member), protocol_factory=factory)
 
 
 def _rss_kb() -> int:
@@ -389,7 +455,7 @@
 
 def main() -> dict[str, Any]:
     """Run the section."""
-    memory = measure_memory()
+    memory = measure_state()
     slopes = []
     for size in SIZES:
         slopes.append(measure_size(size))
@@ -403,8 +469,14 @@
         "wire": check_on_the_wire(),
         "verdicts": verdicts(slopes),
     }
-    print_table([memory])
-    for name in ("slopes", "disturbances", "config_bytes", "store", "verdicts"):
+    for name in (
+        "memory",
+        "slopes",
+        "disturbances",
+        "config_bytes",
+        "store",
+        "verdicts",
+    ):
         print(f"-- {name}")
         print_table(document[name])
     print(json.dumps(document["wire"]))
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -145,7 +145,8 @@
         actions=_slow("proofs", 10.0), policies=("dogwooddock", "static", "none"),
     ),
     Scenario(
-        "outage-in-surge", KALEMTAS, (5.0, 15.0), 20.0, surge=3.0, actions=_outage, tickets=True,
+        "outage-in-surge", KALEMTAS, (5.0, 15.0), 20.0, surge=3.0,
+        actions=_outage, tickets=True,
     ),
     Scenario(
         "zone-gone", KALEMTAS, (5.0, 6.0), 20.0, retries=1, actions=_zone_gone
