Tell the pool of a lost target at once; do not retry what lost a target

Cause: a test over four nodes lost three targets to one bad request: gossip needs up to 200 ms, a router resends within milliseconds, and an ingress retried a request after its target was lost. Change: the reason target-lost is final for the ingress, which marks the request itself; the gate tells all gates of its pool before it replies. Conclusion: a resend within the flight time of one datagram can still cost a third target; routers with back-off cannot do that.

--- a/dogwooddock/callers/ingress.py
+++ b/dogwooddock/callers/ingress.py
@@ -390,6 +390,8 @@
         self._learn(candidate, route, chain, reply, now)
         if reply.outcome != Outcome.NOT_RUN:
             progress.handed_over = True
+        if reply.reason == Reason.TARGET_LOST:
+            self.parts.quarantine.observe_loss(now, attempt.fingerprint, node_id)
         progress.ticket = reply.ticket or ""
         return reply, Reason(reply.reason)
 
--- a/dogwooddock/callers/messages.py
+++ b/dogwooddock/callers/messages.py
@@ -99,6 +99,9 @@
     Reason.TARGET_FAILED: _Problem(
         502, "The target failed in the middle", "Ask again with the same key."
     ),
+    Reason.TARGET_LOST: _Problem(
+        502, "The target was lost in the middle", "Ask again with the same key."
+    ),
     Reason.PEER_FAILED: _Problem(
         502, "The node beside the target failed", "Ask again with the same key."
     ),
--- a/dogwooddock/policy/outcomes.py
+++ b/dogwooddock/policy/outcomes.py
@@ -33,6 +33,7 @@
     QUARANTINED = "quarantined"
     TARGET_UNREACHABLE = "target-unreachable"
     TARGET_FAILED = "target-failed"
+    TARGET_LOST = "target-lost"
     PEER_FAILED = "peer-failed"
     CANCELLED = "cancelled"
     MALFORMED = "malformed"
--- a/dogwooddock/targets/gate.py
+++ b/dogwooddock/targets/gate.py
@@ -493,13 +493,14 @@
         if self.parts.clock() >= deadline:
             return self._reply(attempt, Outcome.UNKNOWN, Reason.DEADLINE)
         time.sleep(LOSS_CHECK_DELAY_S)
-        if not target.accepts_connections():
-            mark = self.parts.quarantine.observe_loss(
-                self.parts.clock(), attempt.fingerprint, self.node_id
-            )
-            if mark is not None:
-                self.parts.spread_mark(mark)
-        return self._reply(attempt, Outcome.UNKNOWN, Reason.TARGET_FAILED)
+        if target.accepts_connections():
+            return self._reply(attempt, Outcome.UNKNOWN, Reason.TARGET_FAILED)
+        mark = self.parts.quarantine.observe_loss(
+            self.parts.clock(), attempt.fingerprint, self.node_id
+        )
+        if mark is not None:
+            self.parts.spread_mark(mark)
+        return self._reply(attempt, Outcome.UNKNOWN, Reason.TARGET_LOST)
 
     # Replies.
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,7 +5,12 @@
 import threading
 import time
 
-from dogwooddock.errors import PlatformTimeout, PlatformUnavailable, TargetError
+from dogwooddock.errors import (
+    PlatformTimeout,
+    PlatformUnavailable,
+    TargetError,
+    TargetUnreachable,
+)
 from dogwooddock.node import Node
 from dogwooddock.platform.base import TableService
 from dogwooddock.platform.configstore import ConfigStore
@@ -52,6 +57,7 @@
     def __init__(self):
         super().__init__(self.run)
         self.ran = []
+        self.refused = []
         self.gate = threading.Event()
         self.gate.set()
         self.fail = None
@@ -64,6 +70,8 @@
         return self.run(method, path, body)
 
     def run(self, method, path, body):
+        if isinstance(self.fail, TargetUnreachable):
+            self.refused.append((method, path, body))
         if self.fail is not None:
             raise self.fail
         return TargetAnswer(200, [("Content-Type", "text/plain")], b"ran " + body)
