Blame deep failures on the deep service; learn levels at the gate

Change: failures below and cut-offs at the deadline do not shrink a limit; a shrink is judged by settled window means before and after, the cold start is at most 8; late refusals raise the level; the gate smooths the level below each route and all ingresses learn it there; the rank follows the router's trace or key.

--- a/bench/load.py
+++ b/bench/load.py
@@ -1,6 +1,7 @@
 """Open-loop load: arrivals do not wait for answers."""
 
 import asyncio
+import hashlib
 import itertools
 import json
 import time
@@ -15,6 +16,12 @@
 CLIENT_GRACE_S = 1.0
 
 
+def _traceparent(request_id: str) -> str:
+    """Return the router's own trace, the same on every resend."""
+    trace_id = hashlib.md5(request_id.encode()).hexdigest()
+    return f"00-{trace_id}-{trace_id[:16]}-01"
+
+
 @dataclass(frozen=True, slots=True)
 class Arrival:
     """One client request, before it is sent."""
@@ -161,6 +168,7 @@
         headers = {
             "Dogwooddock-Caller": traffic.caller,
             "X-Request-Id": arrival.request_id,
+            "traceparent": _traceparent(arrival.request_id),
         }
         if key:
             headers["Idempotency-Key"] = key
--- a/bench/target_standin.py
+++ b/bench/target_standin.py
@@ -101,7 +101,9 @@
         """Open the port, the same one after a crash."""
         app = web.Application(client_max_size=64 * 1024 * 1024)
         app.router.add_route("*", "/{tail:.*}", self.handle)
-        self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.05)
+        self.runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=0.05, handler_cancellation=True
+        )
         await self.runner.setup()
         port = int(self.address.rpartition(":")[2]) if self.address else 0
         site = web.TCPSite(
--- a/dogwooddock/callers/ingress.py
+++ b/dogwooddock/callers/ingress.py
@@ -27,6 +27,7 @@
 MAX_KEY_LENGTH = 200
 REPLY_GRACE_S = 0.1
 SHED_STATUS = 503
+SERVER_ERROR_STATUS = 500
 IN_FLIGHT_BASE_SHARE = 0.55
 
 RETRY_NOT_RUN = frozenset(
@@ -132,10 +133,13 @@
         if not self._enter(route.importance):
             return self._refuse_early(req, route, Reason.OVERLOAD)
         chain = self._chain(req, route, started)
+        failed = True
         try:
-            return self._serve(req, route, chain, tables.version)
+            reply = self._serve(req, route, chain, tables.version)
+            failed = reply.status >= SERVER_ERROR_STATUS
+            return reply
         finally:
-            self._leave(req, chain, started)
+            self._leave(req, chain, started, failed)
 
     # Admission at the edge.
 
@@ -148,16 +152,17 @@
             self.in_flight += 1
             return True
 
-    def _leave(self, req: CallerRequest, chain: _Chain, started: float) -> None:
+    def _leave(
+        self, req: CallerRequest, chain: _Chain, started: float, failed: bool
+    ) -> None:
         with self.lock:
             self.in_flight -= 1
         if not req.local:
             return
         with self.parts.ledger_lock:
             self.parts.ledger.repay(req.trace_id, chain.allowance)
-            entry = self.parts.ledger.find(req.trace_id)
-            if entry is not None:
-                entry.downstream_s += self.parts.clock() - started
+            elapsed = self.parts.clock() - started
+            self.parts.ledger.leave(req.trace_id, elapsed, failed)
 
     def _chain(self, req: CallerRequest, route: Route, now: float) -> _Chain:
         timeout_ms = route.timeout_ms
@@ -166,7 +171,7 @@
         deadline = now + timeout_ms / 1000
         if not req.local:
             trace_id = new_trace_id()
-            rank = request_rank(route.importance, trace_id)
+            rank = request_rank(route.importance, req.trace_id or req.key or trace_id)
             allowance = self.parts.edge_allowance
             return _Chain(
                 trace_id, route.importance, 0, deadline, allowance, rank, True
@@ -180,14 +185,14 @@
                     trace_id, UNKNOWN_CHAIN_IMPORTANCE, 0, deadline, 0, rank, False
                 )
             allowance = self.parts.ledger.borrow(req.trace_id)
-        rank = request_rank(entry.importance, req.trace_id)
+            self.parts.ledger.enter(req.trace_id)
         return _Chain(
             req.trace_id,
             entry.importance,
             entry.depth + 1,
             min(deadline, entry.deadline),
             allowance,
-            rank,
+            entry.rank,
             True,
         )
 
@@ -293,6 +298,7 @@
             0,
             identity,
             self.parts.source,
+            chain.rank,
         )
 
     def _try_targets(
@@ -350,7 +356,8 @@
         if reply is None:
             return reason is Reason.PEER_FAILED and route.idempotent
         if reply.outcome == Outcome.ANSWERED:
-            return route.idempotent and reply.status == SHED_STATUS
+            shed = reply.status == SHED_STATUS and not reply.reason
+            return route.idempotent and shed
         if reply.outcome == Outcome.NOT_RUN:
             return reason in RETRY_NOT_RUN
         return route.idempotent and reason in RETRY_UNKNOWN
@@ -441,7 +448,6 @@
         with self.parts.ledger_lock:
             entry = self.parts.ledger.find(req.trace_id)
             if entry is not None:
-                entry.refused_below = True
                 entry.downstream_level = max(entry.downstream_level, level)
 
     # Outcomes.
--- a/dogwooddock/callers/messages.py
+++ b/dogwooddock/callers/messages.py
@@ -27,7 +27,8 @@
         headers: End-to-end headers.
         body: Whole body.
         key: Value of ``Idempotency-Key``.
-        trace_id: Trace id that the local target propagated, else empty.
+        trace_id: Trace id that the caller sent, or empty. A router's only serves to
+            recognize resends; the local target's names the chain.
         timeout_ms: Time that the caller allows; 0 if it names none.
         local: Whether the local target sent it.
         on_start: Called with a function that cancels the request.
--- a/dogwooddock/callers/server.py
+++ b/dogwooddock/callers/server.py
@@ -264,7 +264,7 @@
             headers=passed,
             body=body,
             key=headers.get(IDEMPOTENCY_KEY, ""),
-            trace_id=trace_id_of(headers.get(TRACEPARENT, "")) if local else "",
+            trace_id=trace_id_of(headers.get(TRACEPARENT, "")),
             timeout_ms=_timeout_ms(headers),
             local=local,
             on_start=lambda cancel: self._watcher.watch(token, req.conn.socket, cancel),
--- a/dogwooddock/peers/peer.thrift
+++ b/dogwooddock/peers/peer.thrift
@@ -26,6 +26,7 @@
   16: i64 key_base
   17: string fingerprint
   18: string source
+  19: i32 rank
 }
 
 // Load of a gate, attached to every reply.
--- a/dogwooddock/peers/wire/ttypes.py
+++ b/dogwooddock/peers/wire/ttypes.py
@@ -117,6 +117,7 @@
      - key_base
      - fingerprint
      - source
+     - rank
 
     """
 
@@ -139,10 +140,11 @@
         'key_base',
         'fingerprint',
         'source',
+        'rank',
     )
 
 
-    def __init__(self, attempt_id=None, trace_id=None, route=None, caller=None, importance=None, depth=None, remaining_us=None, allowance=None, config_version=None, method=None, path=None, headers=None, body=None, idempotent=None, key=None, key_base=None, fingerprint=None, source=None,):
+    def __init__(self, attempt_id=None, trace_id=None, route=None, caller=None, importance=None, depth=None, remaining_us=None, allowance=None, config_version=None, method=None, path=None, headers=None, body=None, idempotent=None, key=None, key_base=None, fingerprint=None, source=None, rank=None,):
         self.attempt_id = attempt_id
         self.trace_id = trace_id
         self.route = route
@@ -161,6 +163,7 @@
         self.key_base = key_base
         self.fingerprint = fingerprint
         self.source = source
+        self.rank = rank
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -267,6 +270,11 @@
                     self.source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -352,6 +360,10 @@
             oprot.writeFieldBegin('source', TType.STRING, 18)
             oprot.writeString(self.source.encode('utf-8') if sys.version_info[0] == 2 else self.source)
             oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 19)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1531,6 +1543,7 @@
     (16, TType.I64, 'key_base', None, None, ),  # 16
     (17, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 17
     (18, TType.STRING, 'source', 'UTF8', None, ),  # 18
+    (19, TType.I32, 'rank', None, None, ),  # 19
 )
 all_structs.append(Load)
 Load.thrift_spec = (
--- a/dogwooddock/policy/admission.py
+++ b/dogwooddock/policy/admission.py
@@ -124,6 +124,7 @@
         self._tag(call)
         position = bisect.bisect_left(self._queue, call.order, key=_order)
         if now + self._wait_s(position) + service > call.deadline:
+            self.levels.refused(now, call.importance)
             return Decision(Verdict.REFUSE, Reason.DEADLINE)
         return self._enqueue(now, call, position)
 
@@ -203,6 +204,11 @@
         self._queue.remove(call)
         return True
 
+    def give_up(self, now: float, call: QueuedCall) -> None:
+        """Remove a waiting call whose time has run out."""
+        if self.withdraw(call):
+            self.levels.refused(now, call.importance)
+
     def drop_all(self) -> list[QueuedCall]:
         """Remove every waiting call."""
         dropped, self._queue = self._queue, []
@@ -234,8 +240,8 @@
 
     def level(self, now: float) -> int:
         """Return the admission level in hundredths of a class of importance."""
-        busy = bool(self._queue) or self.in_flight >= self.limit.value
-        return self.levels.value(now, busy)
+        utilization = (self.in_flight + len(self._queue)) / self.limit.value
+        return self.levels.value(now, utilization)
 
 
 def _order(call: QueuedCall) -> tuple[int, int, float, float]:
--- a/dogwooddock/policy/allowance.py
+++ b/dogwooddock/policy/allowance.py
@@ -17,9 +17,11 @@
         depth: Calls above the target in the chain.
         deadline: Monotonic deadline in seconds.
         parent_attempt: Attempt that the target is working on.
+        rank: Rank of the client request, in hundredths of a class.
         downstream_s: Time that the target spent waiting for its own calls.
         downstream_level: Highest admission level met below, in hundredths.
-        refused_below: Whether a call below was refused for load.
+        failed_below: Whether a call below failed or was refused.
+        outstanding: Calls below that have not returned.
         cancelled: Whether the request was cancelled above.
     """
 
@@ -28,12 +30,19 @@
     depth: int
     deadline: float
     parent_attempt: str
+    rank: int = 0
     downstream_s: float = 0.0
     downstream_level: int = 0
-    refused_below: bool = False
+    failed_below: bool = False
+    outstanding: int = 0
     cancelled: bool = False
     holders: int = 1
 
+    @property
+    def blames_below(self) -> bool:
+        """Report whether a failure now would be the fault of a call below."""
+        return self.failed_below or self.outstanding > 0
+
 
 @dataclass
 class AllowanceLedger:
@@ -56,11 +65,12 @@
         depth: int,
         deadline: float,
         attempt_id: str,
+        rank: int = 0,
     ) -> ChainEntry:
         """Record a chain whose attempt is about to be dispatched."""
         entry = self._entries.get(trace_id)
         if entry is None:
-            entry = ChainEntry(allowance, importance, depth, deadline, attempt_id)
+            entry = ChainEntry(allowance, importance, depth, deadline, attempt_id, rank)
             self._entries[trace_id] = entry
             return entry
         entry.available += allowance
@@ -87,6 +97,20 @@
         if entry is not None:
             entry.available += unspent
 
+    def enter(self, trace_id: str) -> None:
+        """Account for a call below that begins."""
+        entry = self._entries.get(trace_id)
+        if entry is not None:
+            entry.outstanding += 1
+
+    def leave(self, trace_id: str, elapsed_s: float, failed: bool) -> None:
+        """Account for a call below that returned."""
+        entry = self._entries.get(trace_id)
+        if entry is not None:
+            entry.outstanding -= 1
+            entry.downstream_s += elapsed_s
+            entry.failed_below = entry.failed_below or failed
+
     def close(self, trace_id: str) -> int:
         """End one attempt of a chain and return what is unspent."""
         entry = self._entries.get(trace_id)
--- a/dogwooddock/policy/levels.py
+++ b/dogwooddock/policy/levels.py
@@ -10,18 +10,26 @@
 WINDOW_S = 0.1
 RAISE_GAIN = 60.0
 DECAY_IDLE = 25.0
-DECAY_BUSY = 4.0
-HOLD_S = 0.6
-STALE_DECAY_PER_S = 300.0
+DECAY_BUSY = 1.0
+ROUTE_WEIGHT_UP = 0.4
+ROUTE_WEIGHT_DOWN = 0.25
+HOLD_S = 0.5
+STALE_DECAY_PER_S = 150.0
+NO_REFUSAL = 99
 
 
-def request_rank(importance: int, trace_id: str) -> int:
-    """Rank a request in hundredths of a class, the same on every hop.
+def request_rank(importance: int, identity: str) -> int:
+    """Rank a request in hundredths of a class, the same on every hop and resend.
 
-    Requests of one importance are spread over 100 ranks by their trace id, so that
-    every node refuses the same part of a class and no chain is cut half-way.
+    Requests of one importance are spread over 100 ranks, so that every node refuses
+    the same part of a class, no chain is cut half-way, and a resend does not get a
+    better chance than the first try.
+
+    Args:
+        importance: Importance of the client request.
+        identity: The caller's trace id or key, or the chain's trace id.
     """
-    share = zlib.crc32(trace_id.encode()) % LEVEL_SCALE
+    share = zlib.crc32(identity.encode()) % LEVEL_SCALE
     return importance * LEVEL_SCALE + share
 
 
@@ -30,7 +38,7 @@
     """Turn a gate's refusals into the level that edges should apply.
 
     The level rises with the share of refused arrivals and falls while nothing is
-    refused, faster when the gate has free slots.
+    refused, faster the more slots are free.
     """
 
     _level: float = 0.0
@@ -38,6 +46,7 @@
     _arrivals: int = 0
     _refusals: int = 0
     _highest: int = -1
+    _lowest: int = NO_REFUSAL
 
     def arrived(self, now: float, importance: int) -> None:
         """Count an arrival."""
@@ -47,28 +56,36 @@
         """Count a refusal for load."""
         self._refusals += 1
         self._highest = max(self._highest, importance)
+        self._lowest = min(self._lowest, importance)
+
+    def value(self, now: float, utilization: float) -> int:
+        """Return the level at a time, in hundredths of a class.
 
-    def value(self, now: float, busy: bool) -> int:
-        """Return the level at a time, in hundredths of a class."""
+        Args:
+            now: Monotonic time in seconds.
+            utilization: Share of the gate's limit in use; over 1 with a queue.
+        """
         elapsed = now - self._opened_at
         if elapsed >= WINDOW_S:
-            self._close_window(min(elapsed / WINDOW_S, 20.0), busy)
+            self._close_window(min(elapsed / WINDOW_S, 20.0), utilization)
             self._opened_at = now
         return int(self._level)
 
-    def _close_window(self, windows: float, busy: bool) -> None:
+    def _close_window(self, windows: float, utilization: float) -> None:
         if self._refusals:
             share = self._refusals / max(1, self._arrivals)
             ceiling = float((self._highest + 1) * LEVEL_SCALE)
-            floor = float(max(0, self._highest) * LEVEL_SCALE)
+            floor = float(self._lowest * LEVEL_SCALE)
             raised = max(self._level, floor) + RAISE_GAIN * min(1.0, share)
             self._level = max(self._level - DECAY_BUSY, min(ceiling, raised))
         else:
-            decay = DECAY_BUSY if busy else DECAY_IDLE
+            free = max(0.0, 1.0 - utilization)
+            decay = DECAY_BUSY + (DECAY_IDLE - DECAY_BUSY) * free * free
             self._level = max(0.0, self._level - decay * windows)
         self._arrivals = 0
         self._refusals = 0
         self._highest = -1
+        self._lowest = NO_REFUSAL
 
 
 @dataclass(slots=True)
@@ -94,10 +111,11 @@
         else:
             self._readings[name] = _Reading(level, now)
 
-    def raise_to(self, name: str, level: int, now: float) -> None:
-        """Store a level unless a higher one is remembered."""
-        if level > self.level(name, now):
-            self._readings[name] = _Reading(level, now)
+    def follow(self, name: str, level: int, now: float) -> None:
+        """Move a remembered level towards one received at a time."""
+        held = self.level(name, now)
+        weight = ROUTE_WEIGHT_UP if level > held else ROUTE_WEIGHT_DOWN
+        self.update(name, int(held + (level - held) * weight), now)
 
     def level(self, name: str, now: float) -> int:
         """Return the level after ageing, in hundredths of a class."""
--- a/dogwooddock/policy/limits.py
+++ b/dogwooddock/policy/limits.py
@@ -2,22 +2,27 @@
 
 __all__ = ["AdaptiveLimit", "ConcurrencyLimit", "StaticLimit"]
 
+import math
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 
 COLD_START_FRACTION = 0.25
-GROWTH_PER_WINDOW = 0.15
-LATENCY_TOLERANCE = 1.6
-SHRINK_STEP = 0.8
+COLD_START_MAX = 8
+GROWTH_PER_WINDOW = 0.25
+LATENCY_TOLERANCE = 1.5
+NOISE_MARGIN = 1.0
+SHRINK_STEP = 0.65
 FAILURE_SHRINK = 0.85
 FAILURE_SHARE = 0.2
-THROUGHPUT_LOSS = 0.9
+LATENCY_GAIN = 0.82
 BINDING_SHARE = 0.8
 WINDOW_S = 0.25
-WINDOW_SAMPLES = 8
+MIN_SAMPLES = 8
+MAX_SAMPLES = 12
 RELAXED_SHARE = 0.5
-BASELINE_RISE = 0.005
-BASELINE_FALL = 0.05
+BASELINE_RISE = 0.05
+BASELINE_FALL = 0.3
+SETTLE_LATENCIES = 2.0
 
 
 class ConcurrencyLimit(ABC):
@@ -68,32 +73,58 @@
         self._ceiling = ceiling
 
 
+@dataclass(slots=True)
+class _Mean:
+    total_s: float = 0.0
+    samples: int = 0
+
+    @property
+    def value_s(self) -> float:
+        return self.total_s / self.samples
+
+
 @dataclass(slots=True)
 class _Window:
     opened_at: float = 0.0
     samples: int = 0
-    ratio_sum: float = 0.0
     failures: int = 0
     peak_in_flight: int = 0
+    means: dict[str, _Mean] = field(default_factory=dict)
+
+    def add(self, kind: str, service_s: float) -> None:
+        mean = self.means.setdefault(kind, _Mean())
+        mean.total_s += service_s
+        mean.samples += 1
+
+    @property
+    def latency_s(self) -> float:
+        total = sum(mean.total_s for mean in self.means.values())
+        return total / max(1, self.samples - self.failures)
 
 
 @dataclass(frozen=True, slots=True)
 class _Trial:
-    """A shrink whose effect on the throughput is not known yet."""
+    """Comparison of the latency at a limit and at a smaller one.
+
+    Args:
+        limit: Limit before the shrink.
+        ratio: Latency before the shrink, over the baseline; 0 if not measured yet.
+        measure_after: Time from which a window counts.
+    """
 
     limit: float
-    throughput: float
-    settled: bool = False
+    ratio: float
+    measure_after: float
 
 
 @dataclass(slots=True)
 class AdaptiveLimit(ConcurrencyLimit):
-    """Follow the latency, the throughput and the failures of a target.
+    """Follow the latency and the failures of a target.
 
     The limit grows while the target's own time stays near its baseline and the limit
-    is in use. If the time rises, a smaller limit is tried: where that costs
-    throughput, concurrency was not the cause, so the limit is restored and the
-    baseline follows the target; otherwise the limit goes on shrinking.
+    is in use. If the time rises, a smaller limit is tried: where that does not make
+    the target faster, concurrency was not the cause, so the limit is restored and
+    the baseline follows the target; otherwise the smaller limit is kept.
 
     Args:
         floor: Lowest limit, in requests.
@@ -108,7 +139,8 @@
     _trial: _Trial | None = None
 
     def __post_init__(self) -> None:
-        self._limit = max(self.floor, self.ceiling * COLD_START_FRACTION)
+        start = min(COLD_START_MAX, self.ceiling * COLD_START_FRACTION)
+        self._limit = max(self.floor, start)
 
     @property
     def value(self) -> int:
@@ -131,45 +163,63 @@
         if failed:
             window.failures += 1
         else:
-            window.ratio_sum += self._ratio(kind, service_s, in_flight)
-        elapsed = now - window.opened_at
-        if window.samples >= WINDOW_SAMPLES and elapsed >= WINDOW_S:
-            self._adjust(window, elapsed)
+            window.add(kind, service_s)
+        wanted = max(MIN_SAMPLES, min(MAX_SAMPLES, 2 * self.value))
+        if window.samples >= wanted and now - window.opened_at >= WINDOW_S:
+            self._adjust(now, window)
             self._limit = max(self.floor, min(self.ceiling, self._limit))
             self._window = _Window(opened_at=now)
 
-    def _ratio(self, kind: str, service_s: float, in_flight: int) -> float:
-        baseline = self._baselines.setdefault(kind, service_s)
-        weight = BASELINE_FALL
-        if service_s > baseline:
-            relaxed = in_flight < self._limit * RELAXED_SHARE
-            weight = BASELINE_RISE if relaxed else 0.0
-        self._baselines[kind] = baseline + (service_s - baseline) * weight
-        return service_s / max(baseline, 1e-6)
-
-    def _adjust(self, window: _Window, elapsed_s: float) -> None:
-        answered = window.samples - window.failures
-        throughput = answered / elapsed_s
-        ratio = window.ratio_sum / answered if answered else 1.0
-        binding = window.peak_in_flight >= self._limit * BINDING_SHARE
+    def _adjust(self, now: float, window: _Window) -> None:
+        ratio = self._ratio(window)
+        margin = NOISE_MARGIN / math.sqrt(window.samples)
+        binding = window.peak_in_flight >= self.value * BINDING_SHARE
         if window.failures > window.samples * FAILURE_SHARE:
             self._trial = None
             self._limit *= FAILURE_SHRINK
         elif self._trial is not None:
-            self._judge_trial(self._trial, throughput, ratio)
-        elif binding and ratio > LATENCY_TOLERANCE:
-            self._trial = _Trial(self._limit, throughput)
-            self._limit *= SHRINK_STEP
-        elif binding:
+            self._advance_trial(self._trial, now, window, ratio)
+        elif binding and ratio > LATENCY_TOLERANCE + margin and self.value > self.floor:
+            self._trial = _Trial(self._limit, 0.0, _settled(now, window))
+        elif binding and ratio <= LATENCY_TOLERANCE:
             self._limit += max(1.0, self._limit * GROWTH_PER_WINDOW)
 
-    def _judge_trial(self, trial: _Trial, throughput: float, ratio: float) -> None:
-        if not trial.settled:
-            self._trial = _Trial(trial.limit, trial.throughput, settled=True)
-            return
-        self._trial = None
-        if throughput >= trial.throughput * THROUGHPUT_LOSS:
+    def _ratio(self, window: _Window) -> float:
+        """Compare a window with the baselines, and move them."""
+        relaxed = window.peak_in_flight < self._limit * RELAXED_SHARE
+        total = 0.0
+        samples = 0
+        for kind, mean in window.means.items():
+            baseline = self._baselines.setdefault(kind, mean.value_s)
+            total += mean.value_s / max(baseline, 1e-6) * mean.samples
+            samples += mean.samples
+            weight = BASELINE_RISE if relaxed else 0.0
+            if mean.value_s < baseline:
+                weight = BASELINE_FALL
+            self._baselines[kind] = baseline + (mean.value_s - baseline) * weight
+        return total / samples if samples else 1.0
+
+    def _advance_trial(
+        self, trial: _Trial, now: float, window: _Window, ratio: float
+    ) -> None:
+        if window.opened_at < trial.measure_after:
             return
-        self._limit = trial.limit
+        if ratio <= LATENCY_TOLERANCE:
+            self._trial = None
+        elif not trial.ratio:
+            self._trial = _Trial(trial.limit, ratio, _settled(now, window))
+            self._limit *= SHRINK_STEP
+        else:
+            self._trial = None
+            if ratio > trial.ratio * LATENCY_GAIN:
+                self._limit = trial.limit
+                self._rebase(ratio)
+
+    def _rebase(self, ratio: float) -> None:
         for kind, baseline in self._baselines.items():
-            self._baselines[kind] = baseline * max(1.0, ratio)
+            self._baselines[kind] = baseline * ratio
+
+
+def _settled(now: float, window: _Window) -> float:
+    """Return when the effect of the present limit can be measured."""
+    return now + SETTLE_LATENCIES * window.latency_s
--- a/dogwooddock/policy/outcomes.py
+++ b/dogwooddock/policy/outcomes.py
@@ -34,6 +34,7 @@
     TARGET_UNREACHABLE = "target-unreachable"
     TARGET_FAILED = "target-failed"
     TARGET_LOST = "target-lost"
+    FAILED_BELOW = "failed-below"
     PEER_FAILED = "peer-failed"
     CANCELLED = "cancelled"
     MALFORMED = "malformed"
--- a/dogwooddock/targets/gate.py
+++ b/dogwooddock/targets/gate.py
@@ -23,6 +23,7 @@
 from ..policy.admission import Admission, QueuedCall, Verdict
 from ..policy.allowance import AllowanceLedger
 from ..policy.keys import ClaimVerdict, KeyRow, KeyState, judge_claim
+from ..policy.levels import LevelTable
 from ..policy.outcomes import Outcome, Reason
 from ..policy.quarantine import Mark, Quarantine, Standing
 from ..policy.tickets import TicketBook, TicketState, parse_ticket
@@ -34,7 +35,7 @@
 CLAIM_TIMEOUT_S = 1.0
 CLAIM_ATTEMPTS = 4
 LOSS_CHECK_DELAY_S = 0.03
-SHED_STATUS = 503
+SERVER_ERROR_STATUS = 500
 
 log = structlog.get_logger()
 
@@ -92,6 +93,7 @@
         self.registry = AttemptRegistry()
         self.lock = threading.Lock()
         self.outcomes: dict[tuple[str, str], int] = {}
+        self.below = LevelTable()
         self._waiters: dict[str, _Waiter] = {}
         self._ticket_attempts: dict[int, str] = {}
         self._suspect_lock = threading.Lock()
@@ -333,7 +335,7 @@
         waiter.event.wait(max(0.0, deadline - self.parts.clock()))
         with self.lock:
             if not waiter.admitted and not waiter.reason:
-                self.parts.admission.withdraw(waiter.call)
+                self.parts.admission.give_up(self.parts.clock(), waiter.call)
                 waiter.reason = Reason.DEADLINE
         return self._forget(waiter)
 
@@ -425,6 +427,7 @@
                 attempt.depth,
                 deadline,
                 attempt.attempt_id,
+                attempt.rank or 0,
             )
         started = parts.clock()
         reply, sent = self._send(attempt, record, deadline)
@@ -432,17 +435,24 @@
         with self.lock:
             entry = parts.ledger.find(attempt.trace_id)
             if entry is not None:
-                reply.downstream_level = entry.downstream_level
+                level = entry.downstream_level
+                self.below.follow(attempt.route, level, parts.clock())
                 elapsed = max(0.0, elapsed - entry.downstream_s)
             reply.unspent = parts.ledger.close(attempt.trace_id)
-            if not sent or (entry is not None and entry.refused_below):
+            failed = reply.outcome != Outcome.ANSWERED
+            failed = failed or reply.status >= SERVER_ERROR_STATUS
+            late = reply.reason == Reason.DEADLINE
+            blames_below = entry is not None and entry.blames_below
+            if not sent or (failed and blames_below):
                 parts.admission.abandon()
             else:
-                failed = reply.outcome != Outcome.ANSWERED
-                failed = failed or reply.status == SHED_STATUS
-                parts.admission.finish(parts.clock(), call, elapsed, failed)
+                error = failed and not late
+                parts.admission.finish(parts.clock(), call, elapsed, error)
+            if failed and blames_below and reply.outcome == Outcome.ANSWERED:
+                reply.reason = str(Reason.FAILED_BELOW)
             self._grant()
             reply.load = self._load_locked()
+            reply.downstream_level = self.below.level(attempt.route, parts.clock())
         if not sent:
             return self._release(attempt, claimed, Reason(reply.reason))
         if claimed and reply.outcome == Outcome.ANSWERED and parts.keys is not None:
@@ -506,7 +516,9 @@
 
     def _refusal(self, attempt: Attempt, outcome: Outcome, reason: Reason) -> Reply:
         reply = self._reply(attempt, outcome, reason)
-        reply.load = self._load()
+        with self.lock:
+            reply.load = self._load_locked()
+            reply.downstream_level = self.below.level(attempt.route, self.parts.clock())
         return reply
 
     def _reply(self, attempt: Attempt, outcome: Outcome, reason: Reason) -> Reply:
