--- /dev/null
+++ b/dogwooddock/targets/claims.py
@@ -0,0 +1,119 @@
+"""Claims of idempotency keys, on the gate's side."""
+
+__all__ = ["Claim", "Claims"]
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..errors import PlatformError, PlatformTimeout
+from ..peers.wire.ttypes import Attempt, Reply
+from ..platform.committer import KeyService
+from ..platform.keystore import KeyResult, KeyWrite
+from ..policy.keys import ClaimVerdict, KeyRow, KeyState, judge_claim
+from ..policy.outcomes import Reason
+from .answers import store_answer
+
+CLAIM_TIMEOUT_S = 1.0
+CLAIM_ATTEMPTS = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Result of claiming a key.
+
+    Args:
+        version: Version of the key's row, if it is claimed.
+        reason: Why it is not claimed; none if it is.
+    """
+
+    version: int = 0
+    reason: Reason = Reason.NONE
+
+
+class Claims:
+    """Claim, release and finish keys for the attempts of one gate.
+
+    Args:
+        keys: Key rows, or None if the node has no platform.
+        node_id: Identity of this node.
+        address: Address of this node's peer port, as text.
+        clock: Monotonic clock in seconds.
+    """
+
+    def __init__(
+        self,
+        keys: KeyService | None,
+        node_id: int,
+        address: str,
+        clock: Callable[[], float],
+    ):
+        self._keys = keys
+        self._holder = f"{node_id:x}"
+        self._address = address
+        self._clock = clock
+
+    def claim(self, attempt: Attempt, deadline: float) -> Claim:
+        """Claim the key of an attempt from the version that its ingress read."""
+        if self._keys is None:
+            return Claim(reason=Reason.STORE_UNAVAILABLE)
+        mine = self._row(attempt, KeyState.CLAIMED)
+        write = KeyWrite(attempt.key, attempt.key_base, mine)
+        for _ in range(CLAIM_ATTEMPTS):
+            left = min(CLAIM_TIMEOUT_S, deadline - self._clock())
+            if left <= 0:
+                break
+            try:
+                result = self._write_or_read_back(self._keys, write, left)
+            except PlatformTimeout:
+                continue
+            except PlatformError:
+                break
+            verdict = judge_claim(
+                result.applied, result.version, result.row, write.base, mine
+            )
+            if verdict is ClaimVerdict.MINE:
+                return Claim(version=result.version)
+            if verdict is ClaimVerdict.TAKEN:
+                return Claim(reason=Reason.KEY_IN_USE)
+        return Claim(reason=Reason.STORE_UNAVAILABLE)
+
+    @staticmethod
+    def _write_or_read_back(
+        keys: KeyService, write: KeyWrite, timeout_s: float
+    ) -> KeyResult:
+        try:
+            return keys.write_key(write, timeout_s)
+        except PlatformTimeout:
+            return keys.read_key(write.key, timeout_s)
+
+    def release(self, attempt: Attempt, version: int) -> int:
+        """Release a claimed key whose attempt was never dispatched.
+
+        Returns:
+            The version after the release, or 0 if it is not known to have worked.
+        """
+        if not version or self._keys is None:
+            return 0
+        write = KeyWrite(attempt.key, version, self._row(attempt, KeyState.RELEASED))
+        try:
+            result = self._keys.write_key(write, CLAIM_TIMEOUT_S)
+        except PlatformError:
+            return 0
+        return result.version if result.applied else 0
+
+    def finish(self, attempt: Attempt, version: int, reply: Reply) -> None:
+        """Store the answer of a claimed key some time later."""
+        if version and self._keys is not None:
+            row = self._row(attempt, KeyState.FINISHED, store_answer(reply))
+            self._keys.write_later(KeyWrite(attempt.key, version, row))
+
+    def _row(self, attempt: Attempt, state: KeyState, answer: str = "") -> KeyRow:
+        return KeyRow(
+            state,
+            attempt.attempt_id,
+            self._holder,
+            self._address,
+            answer,
+            time.time(),
+        )
--- a/dogwooddock/targets/gate.py
+++ b/dogwooddock/targets/gate.py
@@ -5,11 +5,11 @@
 import threading
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import structlog
 
-from ..errors import PlatformError, PlatformTimeout, TargetError, TargetUnreachable
+from ..errors import TargetError, TargetUnreachable
 from ..headers import (
     IDEMPOTENCY_KEY,
     TIMEOUT_MS,
@@ -19,35 +19,24 @@
 )
 from ..peers.wire.ttypes import Attempt, Header, KeyStatus, Load, Reply
 from ..platform.committer import KeyService
-from ..platform.keystore import KeyWrite
-from ..policy.admission import Admission, QueuedCall, Verdict
+from ..policy.admission import Admission, QueuedCall
 from ..policy.allowance import AllowanceLedger
-from ..policy.keys import ClaimVerdict, KeyRow, KeyState, judge_claim
 from ..policy.levels import LevelTable
 from ..policy.outcomes import Outcome, Reason
 from ..policy.quarantine import Mark, Quarantine, Standing
 from ..policy.tickets import TicketBook, TicketState, parse_ticket
 from ..tables import Pool
-from .answers import store_answer
 from .attempts import AttemptRecord, AttemptRegistry, Phase
+from .claims import Claims
 from .client import Target
+from .slots import SlotQueue
 
-CLAIM_TIMEOUT_S = 1.0
-CLAIM_ATTEMPTS = 4
 LOSS_CHECK_DELAY_S = 0.03
 SERVER_ERROR_STATUS = 500
 
 log = structlog.get_logger()
 
 
-@dataclass(slots=True)
-class _Waiter:
-    call: QueuedCall
-    event: threading.Event = field(default_factory=threading.Event)
-    admitted: bool = False
-    reason: Reason = Reason.NONE
-
-
 @dataclass
 class GateParts:
     """What a gate works with.
@@ -94,7 +83,8 @@
         self.lock = threading.Lock()
         self.outcomes: dict[tuple[str, str], int] = {}
         self.below = LevelTable()
-        self._waiters: dict[str, _Waiter] = {}
+        self._claims = Claims(parts.keys, node_id, address, parts.clock)
+        self._slots = SlotQueue(lambda: parts.admission, self.lock, parts.clock)
         self._ticket_attempts: dict[int, str] = {}
         self._suspect_lock = threading.Lock()
 
@@ -121,12 +111,7 @@
         """Cancel an attempt; return True if it never was and never will be run."""
         record = self.registry.tombstone(self.parts.clock(), attempt_id)
         record.canceller.cancel()
-        with self.lock:
-            waiter = self._waiters.get(attempt_id)
-            if waiter is not None and not waiter.admitted:
-                self.parts.admission.withdraw(waiter.call)
-                waiter.reason = Reason.CANCELLED
-                waiter.event.set()
+        self._slots.cancel(attempt_id)
         return record.phase is Phase.TOMBSTONED
 
     def key_status(self, holder: int, attempt_id: str, wait_s: float) -> KeyStatus:
@@ -161,8 +146,7 @@
         """Refuse new work from now on, waiting calls included."""
         with self.lock:
             self.parts.admission.draining = True
-            for call in self.parts.admission.drop_all():
-                self._wake(call, Reason.DRAINING)
+            self._slots.refuse_waiting(Reason.DRAINING)
 
     def adopt(self, pool: Pool, target: Target) -> None:
         """Serve a pool with a target."""
@@ -274,140 +258,32 @@
             attempt.caller,
             ready=not claims,
         )
-        reason, waiter = self._arrive(call)
-        if reason:
-            return self._refusal(attempt, Outcome.NOT_RUN, reason)
+        waiter = self._slots.arrive(call)
+        if waiter.reason:
+            return self._refusal(attempt, Outcome.NOT_RUN, waiter.reason)
         claimed = 0
         if claims:
-            claimed, refusal = self._claim(attempt, deadline)
-            if refusal is not None:
-                self._withdraw(waiter)
-                return refusal
-            with self.lock:
-                self.parts.admission.mark_ready(call)
-                self._grant()
-        reason = self._await_slot(waiter, deadline)
+            claim = self._claims.claim(attempt, deadline)
+            if claim.reason:
+                self._slots.withdraw(waiter)
+                return self._refusal(attempt, Outcome.NOT_RUN, claim.reason)
+            claimed = claim.version
+            self._slots.mark_ready(waiter)
+        reason = self._slots.await_slot(waiter, deadline)
         if reason:
-            return self._release(attempt, claimed, reason)
-        if self.parts.clock() >= deadline or not self.registry.dispatch(record):
-            with self.lock:
-                self.parts.admission.abandon()
-                self._grant()
-            late = Reason.DEADLINE if record.phase is Phase.WAITING else None
-            return self._release(attempt, claimed, late or Reason.CANCELLED)
+            return self._give_back(attempt, claimed, reason)
+        in_time = self.parts.clock() < deadline
+        if not in_time or not self.registry.dispatch(record):
+            self._slots.withdraw(waiter)
+            reason = Reason.CANCELLED if in_time else Reason.DEADLINE
+            return self._give_back(attempt, claimed, reason)
         return self._dispatch(attempt, record, call, deadline, claimed)
 
-    # Slots.
-
-    def _arrive(self, call: QueuedCall) -> tuple[Reason, _Waiter]:
-        waiter = _Waiter(call)
-        with self.lock:
-            decision = self.parts.admission.arrive(self.parts.clock(), call)
-            if decision.verdict is Verdict.REFUSE:
-                return decision.reason, waiter
-            if decision.verdict is Verdict.ADMIT:
-                waiter.admitted = True
-                return Reason.NONE, waiter
-            if decision.displaced is not None:
-                self._wake(decision.displaced, Reason.DISPLACED)
-            self._waiters[call.attempt_id] = waiter
-            self._grant()
-        return Reason.NONE, waiter
-
-    def _grant(self) -> None:
-        for call in self.parts.admission.next_calls():
-            waiter = self._waiters.get(call.attempt_id)
-            if waiter is None:
-                self.parts.admission.abandon()
-                continue
-            waiter.admitted = True
-            waiter.event.set()
-
-    def _wake(self, call: QueuedCall, reason: Reason) -> None:
-        waiter = self._waiters.get(call.attempt_id)
-        if waiter is not None:
-            waiter.reason = reason
-            waiter.event.set()
-
-    def _await_slot(self, waiter: _Waiter, deadline: float) -> Reason:
-        if waiter.admitted:
-            return self._forget(waiter)
-        waiter.event.wait(max(0.0, deadline - self.parts.clock()))
-        with self.lock:
-            if not waiter.admitted and not waiter.reason:
-                self.parts.admission.give_up(self.parts.clock(), waiter.call)
-                waiter.reason = Reason.DEADLINE
-        return self._forget(waiter)
-
-    def _forget(self, waiter: _Waiter) -> Reason:
-        with self.lock:
-            self._waiters.pop(waiter.call.attempt_id, None)
-        return Reason.NONE if waiter.admitted else waiter.reason
-
-    def _withdraw(self, waiter: _Waiter) -> None:
-        with self.lock:
-            self._waiters.pop(waiter.call.attempt_id, None)
-            if waiter.admitted:
-                self.parts.admission.abandon()
-            else:
-                self.parts.admission.withdraw(waiter.call)
-            self._grant()
-
-    # Keys.
-
-    def _claim(self, attempt: Attempt, deadline: float) -> tuple[int, Reply | None]:
-        if self.parts.keys is None:
-            reason = Reason.STORE_UNAVAILABLE
-            return 0, self._refusal(attempt, Outcome.NOT_RUN, reason)
-        mine = self._row(attempt, KeyState.CLAIMED)
-        write = KeyWrite(attempt.key, attempt.key_base, mine)
-        for _ in range(CLAIM_ATTEMPTS):
-            left = min(CLAIM_TIMEOUT_S, deadline - self.parts.clock())
-            if left <= 0:
-                break
-            try:
-                result = self.parts.keys.write_key(write, left)
-            except PlatformTimeout:
-                try:
-                    result = self.parts.keys.read_key(attempt.key, left)
-                except PlatformError:
-                    continue
-            except PlatformError:
-                break
-            verdict = judge_claim(
-                result.applied, result.version, result.row, attempt.key_base, mine
-            )
-            if verdict is ClaimVerdict.MINE:
-                return result.version, None
-            if verdict is ClaimVerdict.TAKEN:
-                reason = Reason.KEY_IN_USE
-                return 0, self._refusal(attempt, Outcome.NOT_RUN, reason)
-        reason = Reason.STORE_UNAVAILABLE
-        return 0, self._refusal(attempt, Outcome.NOT_RUN, reason)
-
-    def _release(self, attempt: Attempt, claimed: int, reason: Reason) -> Reply:
+    def _give_back(self, attempt: Attempt, version: int, reason: Reason) -> Reply:
         reply = self._refusal(attempt, Outcome.NOT_RUN, reason)
-        if claimed and self.parts.keys is not None:
-            row = self._row(attempt, KeyState.RELEASED)
-            try:
-                write = KeyWrite(attempt.key, claimed, row)
-                result = self.parts.keys.write_key(write, CLAIM_TIMEOUT_S)
-            except PlatformError:
-                return reply
-            if result.applied:
-                reply.key_version = result.version
+        reply.key_version = self._claims.release(attempt, version)
         return reply
 
-    def _row(self, attempt: Attempt, state: KeyState, answer: str = "") -> KeyRow:
-        return KeyRow(
-            state,
-            attempt.attempt_id,
-            f"{self.node_id:x}",
-            self.address,
-            answer,
-            time.time(),
-        )
-
     # Dispatch.
 
     def _dispatch(
@@ -450,14 +326,13 @@
                 parts.admission.finish(parts.clock(), call, elapsed, error)
             if failed and blames_below and reply.outcome == Outcome.ANSWERED:
                 reply.reason = str(Reason.FAILED_BELOW)
-            self._grant()
+            self._slots.grant()
             reply.load = self._load_locked()
             reply.downstream_level = self.below.level(attempt.route, parts.clock())
         if not sent:
-            return self._release(attempt, claimed, Reason(reply.reason))
-        if claimed and reply.outcome == Outcome.ANSWERED and parts.keys is not None:
-            row = self._row(attempt, KeyState.FINISHED, store_answer(reply))
-            parts.keys.write_later(KeyWrite(attempt.key, claimed, row))
+            return self._give_back(attempt, claimed, Reason(reply.reason))
+        if reply.outcome == Outcome.ANSWERED:
+            self._claims.finish(attempt, claimed, reply)
         return reply
 
     def _send(
--- /dev/null
+++ b/dogwooddock/targets/slots.py
@@ -0,0 +1,113 @@
+"""Slots of the target: request threads that wait for admission."""
+
+__all__ = ["SlotQueue", "SlotWaiter"]
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ..policy.admission import Admission, QueuedCall, Verdict
+from ..policy.outcomes import Reason
+
+
+@dataclass(slots=True)
+class SlotWaiter:
+    """One thread's wait for a slot."""
+
+    call: QueuedCall
+    event: threading.Event = field(default_factory=threading.Event)
+    admitted: bool = False
+    reason: Reason = Reason.NONE
+
+
+class SlotQueue:
+    """Turn admission decisions into waiting and waking threads.
+
+    Args:
+        admission: Decisions about the slots.
+        lock: Lock that guards the admission.
+        clock: Monotonic clock in seconds.
+    """
+
+    def __init__(
+        self,
+        admission: Callable[[], Admission],
+        lock: threading.Lock,
+        clock: Callable[[], float],
+    ):
+        self._admission = admission
+        self._lock = lock
+        self._clock = clock
+        self._waiters: dict[str, SlotWaiter] = {}
+
+    def arrive(self, call: QueuedCall) -> SlotWaiter:
+        """Ask for a slot; the waiter's reason is set if it is refused."""
+        waiter = SlotWaiter(call)
+        with self._lock:
+            decision = self._admission().arrive(self._clock(), call)
+            if decision.verdict is Verdict.REFUSE:
+                waiter.reason = decision.reason
+            elif decision.verdict is Verdict.ADMIT:
+                waiter.admitted = True
+            else:
+                self._waiters[call.attempt_id] = waiter
+                if decision.displaced is not None:
+                    self._wake(decision.displaced, Reason.DISPLACED)
+                self.grant()
+        return waiter
+
+    def mark_ready(self, waiter: SlotWaiter) -> None:
+        """Allow a waiting call to be admitted."""
+        with self._lock:
+            self._admission().mark_ready(waiter.call)
+            self.grant()
+
+    def await_slot(self, waiter: SlotWaiter, deadline: float) -> Reason:
+        """Wait for a slot; return why there is none, or no reason."""
+        if not waiter.admitted:
+            waiter.event.wait(max(0.0, deadline - self._clock()))
+        with self._lock:
+            if not waiter.admitted and not waiter.reason:
+                self._admission().give_up(self._clock(), waiter.call)
+                waiter.reason = Reason.DEADLINE
+            self._waiters.pop(waiter.call.attempt_id, None)
+        return Reason.NONE if waiter.admitted else waiter.reason
+
+    def withdraw(self, waiter: SlotWaiter) -> None:
+        """Give up a place or a slot without having used it."""
+        with self._lock:
+            self._waiters.pop(waiter.call.attempt_id, None)
+            if waiter.admitted:
+                self._admission().abandon()
+            else:
+                self._admission().withdraw(waiter.call)
+            self.grant()
+
+    def cancel(self, attempt_id: str) -> None:
+        """Refuse a waiting call because its caller has gone."""
+        with self._lock:
+            waiter = self._waiters.get(attempt_id)
+            if waiter is not None and not waiter.admitted:
+                self._admission().withdraw(waiter.call)
+                self._wake(waiter.call, Reason.CANCELLED)
+
+    def refuse_waiting(self, reason: Reason) -> None:
+        """Refuse every waiting call; the lock must be held."""
+        for call in self._admission().drop_all():
+            self._wake(call, reason)
+
+    def grant(self) -> None:
+        """Admit waiting calls while slots are free; the lock must be held."""
+        for call in self._admission().next_calls():
+            waiter = self._waiters.get(call.attempt_id)
+            if waiter is None:
+                self._admission().abandon()
+                continue
+            waiter.admitted = True
+            waiter.event.set()
+
+    def _wake(self, call: QueuedCall, reason: Reason) -> None:
+        waiter = self._waiters.get(call.attempt_id)
+        if waiter is not None:
+            waiter.reason = reason
+            waiter.event.set()
