Join groups that formed at the same time

Change: the three first nodes of a zone read the contact rows every 5 s and join addresses that they do not know. Measured: the new test (two groups that formed while the store was down) fails before and passes after; 9 join and settings tests pass.

--- a/dogwooddock/node.py
+++ b/dogwooddock/node.py
@@ -28,7 +28,7 @@
 from .platform.committer import DirectBatches, KeyService
 from .platform.configstore import ConfigStore
 from .platform.configsync import ConfigHolder, ConfigSync
-from .platform.contacts import ContactRows
+from .platform.contacts import ROWS_PER_ZONE, ContactRows
 from .platform.http import HttpObjectStore, HttpTableService
 from .platform.keystore import KeyStore
 from .policy.admission import Admission
@@ -49,6 +49,7 @@
 INITIAL_LIMIT = 4
 PULL_TIMEOUT_S = 1.0
 CONTACT_PERIOD_S = 5.0
+JOIN_PERIOD_S = 0.5
 LEAVE_SPREAD_S = 0.3
 RESERVED_THREADS = 8
 MAX_DIRECT_WRITERS = 2
@@ -365,20 +366,32 @@
         while not self._stopped.is_set():
             alone = len(self._members.by_id) <= 1
             if alone:
-                self._join()
+                self._join(self._known_contacts())
             elif self._contacts is not None:
-                rank = poller_rank(self.node_id, self._zone_members())
-                self._contacts.write(rank, self.peer_text)
-            if self._stopped.wait(0.5 if alone else CONTACT_PERIOD_S):
+                self._refresh_contacts(self._contacts)
+            if self._stopped.wait(JOIN_PERIOD_S if alone else CONTACT_PERIOD_S):
                 return
 
-    def _join(self) -> None:
+    def _known_contacts(self) -> list[tuple[str, int]]:
         contacts = list(self.settings.contact_addresses)
         if self._contacts is not None:
             stored = self._contacts.read()
             contacts.extend(stored)
             if not stored:
                 self._contacts.write(0, self.peer_text)
+        return contacts
+
+    def _refresh_contacts(self, contacts: ContactRows) -> None:
+        """Keep this node's contact row, and join groups that are not known yet."""
+        rank = poller_rank(self.node_id, self._zone_members())
+        if rank >= ROWS_PER_ZONE:
+            return
+        known = {member.address for member in self.known_members()}
+        unknown = [address for address in contacts.read() if address not in known]
+        self._join(unknown)
+        contacts.write(rank, self.peer_text)
+
+    def _join(self, contacts: list[tuple[str, int]]) -> None:
         contacts = [address for address in contacts if address != self.peer_address]
         self.gossip.join(contacts)
         for address in contacts:
--- /dev/null
+++ b/tests/test_join.py
@@ -0,0 +1,79 @@
+"""Joining the fleet."""
+
+import pytest
+
+from dogwooddock import node as node_module
+from dogwooddock.errors import InvalidSettings
+from dogwooddock.node import Node
+from dogwooddock.peers.sockets import open_peer_sockets
+from dogwooddock.platform.memory import MemoryObjectStore
+from dogwooddock.settings import validate_settings
+
+from .helpers import FaultyTables, MiniFleet
+
+
+def start(tables, name, contacts=""):
+    values = {"name": name, "zone": "zone-a", "threads": 8, "contacts": contacts}
+    node = Node(validate_settings(values), tables, MemoryObjectStore())
+    node.start()
+    return node
+
+
+@pytest.mark.parametrize("store_down", [False, True])
+def test_boot_with_and_without_the_store(store_down, monkeypatch):
+    tables = FaultyTables()
+    tables.down = store_down
+    first = start(tables, "first")
+    contacts = first.peer_text if store_down else ""
+    second = start(tables, "second", contacts)
+    try:
+        MiniFleet.wait(lambda: len(second.known_members()) == 2)
+        MiniFleet.wait(lambda: len(first.known_members()) == 2)
+    finally:
+        first.stop()
+        second.stop()
+
+
+def test_two_groups_that_formed_at_once_find_each_other(monkeypatch):
+    monkeypatch.setattr(node_module, "CONTACT_PERIOD_S", 0.3)
+    tables = FaultyTables()
+    tables.down = True
+    nodes = [start(tables, "a")]
+    nodes.append(start(tables, "b", nodes[0].peer_text))
+    nodes.append(start(tables, "c"))
+    nodes.append(start(tables, "d", nodes[2].peer_text))
+    try:
+        MiniFleet.wait(lambda: all(len(n.known_members()) == 2 for n in nodes))
+        tables.down = False
+        MiniFleet.wait(lambda: all(len(n.known_members()) == 4 for n in nodes))
+    finally:
+        for node in nodes:
+            node.stop()
+
+
+def test_peer_port_is_free_for_tcp_and_udp():
+    opened = [open_peer_sockets(("127.0.0.1", 0)) for _ in range(20)]
+    for sockets in opened:
+        assert sockets.tcp.getsockname()[1] == sockets.udp.getsockname()[1]
+    with pytest.raises(InvalidSettings, match="choose another"):
+        open_peer_sockets(opened[0].address)
+    for sockets in opened:
+        sockets.tcp.close()
+        sockets.udp.close()
+
+
+@pytest.mark.parametrize(
+    ("name", "value", "expected"),
+    [
+        ("threads", "many", "--threads (or DOGWOODDOCK_THREADS) is 'many'"),
+        ("router_listen", "somewhere", "--router-listen"),
+        ("peer_listen", "10.0.0.1:99999", "--peer-listen"),
+        ("platform_url", "ftp://x", "start the URL with http"),
+        ("limit_mode", "magic", "--limit-mode"),
+    ],
+)
+def test_wrong_setting_is_one_clear_line(name, value, expected):
+    with pytest.raises(InvalidSettings) as caught:
+        validate_settings({"name": "n", "zone": "z", name: value})
+    assert expected in str(caught.value)
+    assert "\n" not in str(caught.value)
