--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -73,7 +73,7 @@
         super()._build_ingress()
         self.ingress.parts.levels = _NoLevels()
         self.ingress.parts.budget = _Generous()
-        self.ingress.parts.edge_allowance = NAIVE_RETRIES
+        self.ingress.chains.edge_allowance = NAIVE_RETRIES
 
 
 class StaticNode(Node):
--- a/dogwooddock/callers/ingress.py
+++ b/dogwooddock/callers/ingress.py
@@ -10,41 +10,25 @@
 from typing import Protocol
 
 from ..errors import PeerError, PeerUnreachable
-from ..headers import NEXT_TICKET, OUTCOME, new_attempt_id, new_trace_id
+from ..headers import NEXT_TICKET, OUTCOME, new_attempt_id
 from ..peers.wire.ttypes import Attempt, Header, KeyStatus, Reply
 from ..policy.allowance import EDGE_ALLOWANCE, AllowanceLedger
-from ..policy.levels import LEVEL_SCALE, LevelTable, request_rank
+from ..policy.levels import LEVEL_SCALE, LevelTable
 from ..policy.outcomes import Outcome, Reason
 from ..policy.quarantine import Quarantine, Standing, fingerprint
-from ..policy.retries import RetryBudget
+from ..policy.retries import FREE_OF_WORK, RetryBudget, worth_retry
 from ..policy.selection import Candidate, Selector
 from ..policy.tickets import TICKET_PREFIX, parse_ticket
 from ..tables import MAX_IMPORTANCE, Route, Tables
+from .chains import Chain, Chains
 from .keyed import KeyedRequests
 from .messages import CallerReply, CallerRequest, problem_reply
 
-UNKNOWN_CHAIN_IMPORTANCE = 0
 MAX_KEY_LENGTH = 200
 REPLY_GRACE_S = 0.1
-SHED_STATUS = 503
 SERVER_ERROR_STATUS = 500
 IN_FLIGHT_BASE_SHARE = 0.55
 
-RETRY_NOT_RUN = frozenset(
-    {
-        Reason.OVERLOAD,
-        Reason.DISPLACED,
-        Reason.DRAINING,
-        Reason.NO_TARGET,
-        Reason.TARGET_UNREACHABLE,
-        Reason.PEER_FAILED,
-    }
-)
-FREE_OF_WORK = frozenset(
-    {Reason.DRAINING, Reason.NO_TARGET, Reason.TARGET_UNREACHABLE, Reason.PEER_FAILED}
-)
-RETRY_UNKNOWN = frozenset({Reason.TARGET_FAILED, Reason.PEER_FAILED})
-
 
 class Fleet(Protocol):
     """How an ingress reaches gates."""
@@ -88,17 +72,6 @@
     clock: Callable[[], float] = time.monotonic
 
 
-@dataclass(slots=True)
-class _Chain:
-    trace_id: str
-    importance: int
-    depth: int
-    deadline: float
-    allowance: int
-    rank: int
-    known: bool
-
-
 @dataclass(slots=True)
 class _Progress:
     tried: set[int] = field(default_factory=set)
@@ -118,6 +91,7 @@
         self.in_flight = 0
         self.outcomes: dict[tuple[str, str, str], int] = {}
         self.retries = 0
+        self.chains = Chains(parts.ledger, parts.ledger_lock, parts.edge_allowance)
 
     def handle(self, req: CallerRequest) -> CallerReply:
         """Take one request to its outcome."""
@@ -132,14 +106,16 @@
             return self._finish(route.kind, Outcome.NOT_RUN, reason)
         if not self._enter(route.importance):
             return self._refuse_early(req, route, Reason.OVERLOAD)
-        chain = self._chain(req, route, started)
+        chain = self.chains.begin(req, route, started)
         failed = True
         try:
             reply = self._serve(req, route, chain, tables.version)
             failed = reply.status >= SERVER_ERROR_STATUS
             return reply
         finally:
-            self._leave(req, chain, started, failed)
+            self._leave()
+            elapsed = self.parts.clock() - started
+            self.chains.end(req, chain, elapsed, failed)
 
     # Admission at the edge.
 
@@ -152,51 +128,11 @@
             self.in_flight += 1
             return True
 
-    def _leave(
-        self, req: CallerRequest, chain: _Chain, started: float, failed: bool
-    ) -> None:
+    def _leave(self) -> None:
         with self.lock:
             self.in_flight -= 1
-        if not req.local:
-            return
-        with self.parts.ledger_lock:
-            self.parts.ledger.repay(req.trace_id, chain.allowance)
-            elapsed = self.parts.clock() - started
-            self.parts.ledger.leave(req.trace_id, elapsed, failed)
-
-    def _chain(self, req: CallerRequest, route: Route, now: float) -> _Chain:
-        timeout_ms = route.timeout_ms
-        if req.timeout_ms:
-            timeout_ms = min(timeout_ms, req.timeout_ms)
-        deadline = now + timeout_ms / 1000
-        if not req.local:
-            trace_id = new_trace_id()
-            rank = request_rank(route.importance, req.trace_id or req.key or trace_id)
-            allowance = self.parts.edge_allowance
-            return _Chain(
-                trace_id, route.importance, 0, deadline, allowance, rank, True
-            )
-        with self.parts.ledger_lock:
-            entry = self.parts.ledger.find(req.trace_id)
-            if entry is None:
-                trace_id = req.trace_id or new_trace_id()
-                rank = request_rank(UNKNOWN_CHAIN_IMPORTANCE, trace_id)
-                return _Chain(
-                    trace_id, UNKNOWN_CHAIN_IMPORTANCE, 0, deadline, 0, rank, False
-                )
-            allowance = self.parts.ledger.borrow(req.trace_id)
-            self.parts.ledger.enter(req.trace_id)
-        return _Chain(
-            req.trace_id,
-            entry.importance,
-            entry.depth + 1,
-            min(deadline, entry.deadline),
-            allowance,
-            entry.rank,
-            True,
-        )
 
-    def _refused_at_edge(self, route: Route, chain: _Chain, now: float) -> bool:
+    def _refused_at_edge(self, route: Route, chain: Chain, now: float) -> bool:
         levels = self.parts.levels
         if chain.rank < levels.level(f"route:{route.name}", now):
             return True
@@ -236,7 +172,7 @@
     # The request's way through the fleet.
 
     def _serve(
-        self, req: CallerRequest, route: Route, chain: _Chain, version: int
+        self, req: CallerRequest, route: Route, chain: Chain, version: int
     ) -> CallerReply:
         now = self.parts.clock()
         identity = fingerprint(route.name, req.key, req.body, req.path)
@@ -244,7 +180,7 @@
         if standing is Standing.QUARANTINED and not req.key:
             return self._finish(route.kind, Outcome.NOT_RUN, Reason.QUARANTINED)
         if self._refused_at_edge(route, chain, now):
-            self._note_refusal(req, chain.rank + 1)
+            self.chains.note_level(chain, chain.rank + 1)
             return self._refuse_early(req, route, Reason.OVERLOAD)
         ticket = parse_ticket(req.key) if req.key else None
         progress = _Progress()
@@ -275,7 +211,7 @@
         self,
         req: CallerRequest,
         route: Route,
-        chain: _Chain,
+        chain: Chain,
         version: int,
         identity: str,
     ) -> Attempt:
@@ -305,7 +241,7 @@
         self,
         req: CallerRequest,
         route: Route,
-        chain: _Chain,
+        chain: Chain,
         attempt: Attempt,
         progress: _Progress,
     ) -> tuple[Reply | None, Reason]:
@@ -330,7 +266,7 @@
         self,
         req: CallerRequest,
         route: Route,
-        chain: _Chain,
+        chain: Chain,
         progress: _Progress,
         reply: Reply | None,
         reason: Reason,
@@ -339,7 +275,7 @@
             return False
         if self.parts.clock() >= chain.deadline:
             return False
-        if not self._worth_retry(route, reply, reason):
+        if not _worth_retry(route, reply, reason):
             return False
         if reason not in FREE_OF_WORK and not self._spend(req, route):
             return False
@@ -352,22 +288,12 @@
         with self.lock:
             return self.parts.budget.spend(req.caller, route.pool)
 
-    def _worth_retry(self, route: Route, reply: Reply | None, reason: Reason) -> bool:
-        if reply is None:
-            return reason is Reason.PEER_FAILED and route.idempotent
-        if reply.outcome == Outcome.ANSWERED:
-            shed = reply.status == SHED_STATUS and not reply.reason
-            return route.idempotent and shed
-        if reply.outcome == Outcome.NOT_RUN:
-            return reason in RETRY_NOT_RUN
-        return route.idempotent and reason in RETRY_UNKNOWN
-
     def _try_node(
         self,
         node_id: int,
         candidate: Candidate | None,
         route: Route,
-        chain: _Chain,
+        chain: Chain,
         attempt: Attempt,
         progress: _Progress,
     ) -> tuple[Reply | None, Reason]:
@@ -411,7 +337,7 @@
         self,
         candidate: Candidate | None,
         route: Route,
-        chain: _Chain,
+        chain: Chain,
         reply: Reply,
         sent_at: float,
     ) -> None:
@@ -433,22 +359,7 @@
             self.parts.levels.update(f"gate:{candidate.node_id}", load.level, now)
         self.parts.levels.update(f"route:{route.name}", reply.downstream_level, now)
         below = max(load.level, reply.downstream_level)
-        if chain.depth and below:
-            self._note_level(chain.trace_id, below)
-
-    def _note_level(self, trace_id: str, level: int) -> None:
-        with self.parts.ledger_lock:
-            entry = self.parts.ledger.find(trace_id)
-            if entry is not None:
-                entry.downstream_level = max(entry.downstream_level, level)
-
-    def _note_refusal(self, req: CallerRequest, level: int) -> None:
-        if not req.local:
-            return
-        with self.parts.ledger_lock:
-            entry = self.parts.ledger.find(req.trace_id)
-            if entry is not None:
-                entry.downstream_level = max(entry.downstream_level, level)
+        self.chains.note_level(chain, below)
 
     # Outcomes.
 
@@ -456,7 +367,7 @@
         self,
         req: CallerRequest,
         route: Route,
-        chain: _Chain,
+        chain: Chain,
         progress: _Progress,
         reply: Reply | None,
         reason: Reason,
@@ -464,7 +375,7 @@
         if reply is not None and reply.outcome == Outcome.ANSWERED:
             return self._answer(route, reply, progress.ticket)
         if reason in (Reason.OVERLOAD, Reason.DISPLACED):
-            self._note_refusal(req, chain.importance * LEVEL_SCALE)
+            self.chains.note_level(chain, chain.importance * LEVEL_SCALE)
         if route.idempotent:
             handed = progress.handed_over
             outcome = Outcome.UNKNOWN if handed else Outcome.NOT_RUN
@@ -564,6 +475,13 @@
             return "lost"
 
 
+def _worth_retry(route: Route, reply: Reply | None, reason: Reason) -> bool:
+    if reply is None:
+        return worth_retry(route.idempotent, Outcome.UNKNOWN, reason, 0)
+    outcome = Outcome(reply.outcome)
+    return worth_retry(route.idempotent, outcome, reason, reply.status)
+
+
 def _key_problem(req: CallerRequest, route: Route) -> Reason:
     if route.idempotent:
         return Reason.NONE
--- a/dogwooddock/policy/retries.py
+++ b/dogwooddock/policy/retries.py
@@ -1,15 +1,45 @@
-"""Bound on retries as a share of the load, per caller and pool."""
+"""Which attempts may be retried, and how large a share of the load retries are."""
 
-__all__ = ["RetryBudget"]
+__all__ = ["FREE_OF_WORK", "RetryBudget", "worth_retry"]
 
 from dataclasses import dataclass, field
 
+from .outcomes import Outcome, Reason
+
 RETRY_RATIO = 0.1
 MAX_TOKENS = 10.0
 INITIAL_TOKENS = 3.0
 MAX_PAIRS = 4096
 
 
+SHED_STATUS = 503
+FREE_OF_WORK = frozenset(
+    {Reason.DRAINING, Reason.NO_TARGET, Reason.TARGET_UNREACHABLE, Reason.PEER_FAILED}
+)
+RETRY_NOT_RUN = FREE_OF_WORK | {Reason.OVERLOAD, Reason.DISPLACED}
+RETRY_UNKNOWN = frozenset({Reason.TARGET_FAILED, Reason.PEER_FAILED})
+
+
+def worth_retry(
+    idempotent: bool, outcome: Outcome, reason: Reason, status: int
+) -> bool:
+    """Report whether another target may be tried.
+
+    Args:
+        idempotent: Whether the request may run more than once.
+        outcome: Outcome of the attempt.
+        reason: Reason that came with it.
+        status: HTTP status, if it was answered.
+    """
+    if outcome is Outcome.NOT_RUN:
+        return reason in RETRY_NOT_RUN
+    if not idempotent:
+        return False
+    if outcome is Outcome.ANSWERED:
+        return status == SHED_STATUS and not reason
+    return reason in RETRY_UNKNOWN
+
+
 @dataclass
 class RetryBudget:
     """Earn a fraction of a retry with every request and spend one per retry."""
