--- a/bench/control.py
+++ b/bench/control.py
@@ -19,7 +19,8 @@
 from dogwooddock.peers.wire.ttypes import ConfigLog, Reply
 from dogwooddock.platform.contacts import ROWS_PER_ZONE
 from dogwooddock.policy.configlog import POLLERS_PER_ZONE, ConfigReplica, poller_rank
-from dogwooddock.policy.membership import Member, Membership
+from dogwooddock.policy.members import Member
+from dogwooddock.policy.membership import Membership
 from dogwooddock.policy.selection import Selector
 from dogwooddock.tables import Edit, Pool, Route, RowChange, Tables
 from dogwooddock.targets.attempts import AttemptRegistry
--- a/bench/virtual.py
+++ b/bench/virtual.py
@@ -11,7 +11,8 @@
 from random import Random
 
 from dogwooddock.peers.codec import encode_gossip
-from dogwooddock.policy.membership import Member, Membership, MemberState, Send
+from dogwooddock.policy.members import Member, MemberState, Send
+from dogwooddock.policy.membership import Membership
 
 TICK_S = 0.1
 DELAY_S = 0.0005
--- a/dogwooddock/node.py
+++ b/dogwooddock/node.py
@@ -36,7 +36,7 @@
 from .policy.configlog import LogSlice, first_ranked, poller_rank
 from .policy.levels import LevelTable
 from .policy.limits import AdaptiveLimit, ConcurrencyLimit, StaticLimit
-from .policy.membership import Member, MemberState
+from .policy.members import Member, MemberState
 from .policy.quarantine import MARK_LIFETIME_S, Mark, Quarantine
 from .policy.retries import RetryBudget
 from .policy.selection import Selector
--- a/dogwooddock/operators/state.py
+++ b/dogwooddock/operators/state.py
@@ -7,7 +7,7 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from ..policy.membership import MemberState
+from ..policy.members import MemberState
 
 if TYPE_CHECKING:
     from ..node import Node
--- a/dogwooddock/peers/codec.py
+++ b/dogwooddock/peers/codec.py
@@ -6,7 +6,7 @@
 from thrift.TSerialization import deserialize, serialize
 
 from ..errors import PeerError
-from ..policy.membership import Kind, Member, MemberState, Message
+from ..policy.members import Kind, Member, MemberState, Message
 from ..policy.quarantine import Mark
 from .wire import ttypes
 
--- a/dogwooddock/peers/fleet.py
+++ b/dogwooddock/peers/fleet.py
@@ -10,7 +10,7 @@
 from ..platform.keystore import KeyWrite
 from ..policy.configlog import LogSlice
 from ..policy.keys import KeyRow
-from ..policy.membership import Member
+from ..policy.members import Member
 from ..policy.tickets import parse_ticket
 from .batching import to_wire
 from .client import PeerConnections
--- a/dogwooddock/peers/gossip.py
+++ b/dogwooddock/peers/gossip.py
@@ -13,7 +13,8 @@
 import structlog
 
 from ..errors import PeerError
-from ..policy.membership import Member, Membership, Send
+from ..policy.members import Member, Send
+from ..policy.membership import Membership
 from ..policy.quarantine import Mark
 from .codec import decode_gossip, encode_gossip
 
--- a/dogwooddock/platform/configsync.py
+++ b/dogwooddock/platform/configsync.py
@@ -18,7 +18,7 @@
     LogSlice,
     poller_rank,
 )
-from ..policy.membership import Member
+from ..policy.members import Member
 from ..tables import Edit, Tables
 from .configstore import ConfigStore
 
--- a/dogwooddock/policy/membership.py
+++ b/dogwooddock/policy/membership.py
@@ -1,20 +1,14 @@
 """Membership of the fleet by probing, suspicion and refutation."""
 
-__all__ = [
-    "Kind",
-    "Member",
-    "MemberState",
-    "Membership",
-    "Message",
-    "Send",
-]
+__all__ = ["Membership"]
 
 import math
 from collections import deque
 from dataclasses import dataclass, field, replace
-from enum import IntEnum
 from random import Random
 
+from .members import Kind, Member, MemberState, Message, Send
+from .news import ByteBudget, NewsQueue
 from .quarantine import Mark
 
 PROBE_PERIOD_S = 1.0
@@ -38,90 +32,6 @@
 UPDATE_BYTES = 52
 
 
-class MemberState(IntEnum):
-    """State of a member, in order of precedence at equal counters."""
-
-    ALIVE = 0
-    SUSPECT = 1
-    DEAD = 2
-    LEFT = 3
-
-
-@dataclass(frozen=True, slots=True)
-class Member:
-    """One process of the fleet.
-
-    Args:
-        node_id: Random identity, new for every process.
-        name: Name from the settings.
-        ip: Address of the peer port.
-        port: Peer port, for TCP and UDP.
-        zone: Availability zone.
-        pool: Pool of the target beside it; empty while there is none.
-        counter: Refutation counter, raised only by the member itself.
-        state: State as seen by the sender.
-    """
-
-    node_id: int
-    name: str
-    ip: str
-    port: int
-    zone: str
-    pool: str
-    counter: int = 0
-    state: MemberState = MemberState.ALIVE
-
-    @property
-    def address(self) -> tuple[str, int]:
-        """Return the address of the peer port."""
-        return self.ip, self.port
-
-    def supersedes(self, other: "Member") -> bool:
-        """Report whether this record replaces another of the same member."""
-        return (self.counter, self.state) > (other.counter, other.state)
-
-
-class Kind(IntEnum):
-    """Kind of a gossip message."""
-
-    PING = 1
-    ACK = 2
-    PING_REQUEST = 3
-    NEWS = 4
-    CONFIG_HINT = 5
-
-
-@dataclass(frozen=True, slots=True)
-class Message:
-    """One datagram between members.
-
-    Args:
-        kind: Kind of the message.
-        sender: Identity of the sender.
-        sequence: Number that an acknowledgement repeats.
-        subject: Member to probe on behalf of the sender, or that was probed.
-        config_version: Configuration version of the sender.
-        members: Member records to merge.
-        marks: Quarantine marks to merge.
-    """
-
-    kind: Kind
-    sender: int
-    sequence: int
-    subject: int
-    config_version: int
-    members: tuple[Member, ...] = ()
-    marks: tuple[Mark, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class Send:
-    """A message to send to an address."""
-
-    address: tuple[str, int]
-    message: Message
-
-
 @dataclass(slots=True)
 class _Probe:
     node_id: int
@@ -131,13 +41,6 @@
     indirect: bool = False
 
 
-@dataclass(slots=True)
-class _News:
-    member: Member | None
-    mark: Mark | None
-    left: int
-
-
 @dataclass(slots=True)
 class _Relay:
     requester: tuple[str, int]
@@ -162,7 +65,6 @@
     seen_config_from: int = 0
     members: dict[int, Member] = field(default_factory=dict)
     changed: bool = True
-    sent_bytes: int = 0
     fresh_marks: list[Mark] = field(default_factory=list)
     false_accusations: int = 0
     _order: deque[int] = field(default_factory=deque)
@@ -170,14 +72,15 @@
     _dead_at: dict[int, float] = field(default_factory=dict)
     _probe: _Probe | None = None
     _relays: dict[int, _Relay] = field(default_factory=dict)
-    _news: dict[object, _News] = field(default_factory=dict)
+    _news: NewsQueue[Member | Mark] = field(default_factory=NewsQueue)
+    _budget: ByteBudget = field(
+        default_factory=lambda: ByteBudget(BUDGET_BYTES_PER_S, BUDGET_BURST_BYTES)
+    )
     _sequence: int = 0
     _next_probe: float = 0.0
     _next_gossip: float = 0.0
     _next_dead_probe: float = 0.0
     _last_tick: float = -1.0
-    _tokens: float = BUDGET_BURST_BYTES
-    _last_refill: float = -1.0
     _ids: list[int] = field(default_factory=list)
     _ids_stale: bool = True
 
@@ -187,6 +90,11 @@
 
     # Views.
 
+    @property
+    def sent_bytes(self) -> int:
+        """Return the estimated bytes sent so far."""
+        return self._budget.spent
+
     def alive(self) -> list[Member]:
         """Return the members that may serve, suspects included."""
         return [item for item in self.members.values() if item.state <= 1]
@@ -238,7 +146,7 @@
             urgent: Whether to tell the members of the own pool at once.
         """
         key = (mark.fingerprint, mark.node_id, mark.released)
-        self._news[key] = _News(None, mark, self._retransmits())
+        self._news.put(key, mark, self._retransmits())
         if not urgent:
             return []
         mates = [
@@ -253,7 +161,7 @@
 
     def tick(self, now: float) -> list[Send]:
         """Run timers; call at least every ``GOSSIP_PERIOD_S``."""
-        self._refill(now)
+        self._budget.refill(now)
         if self._last_tick >= 0 and now - self._last_tick > PAUSE_GAP_S:
             self._forgive_pause(now)
         self._last_tick = now
@@ -277,7 +185,7 @@
         self, now: float, message: Message, source: tuple[str, int]
     ) -> list[Send]:
         """Process a received message and return the answers."""
-        self._refill(now)
+        self._budget.refill(now)
         for member in message.members:
             self._merge(now, member)
         for mark in message.marks:
@@ -496,7 +404,7 @@
         return RETRANSMIT_FACTOR * math.ceil(math.log10(len(self.members) + 1))
 
     def _queue_member(self, member: Member) -> None:
-        self._news[member.node_id] = _News(member, None, self._retransmits())
+        self._news.put(member.node_id, member, self._retransmits())
 
     def _gossip(self) -> list[Send]:
         if not self._news:
@@ -505,7 +413,7 @@
         return [
             self._send(peer.address, Kind.NEWS, 0)
             for peer in peers
-            if self._news and self._tokens > HEADER_BYTES + UPDATE_BYTES
+            if self._news and self._budget.room(HEADER_BYTES, UPDATE_BYTES)
         ]
 
     def _pick(self, count: int, exclude: int = 0) -> list[Member]:
@@ -527,12 +435,6 @@
             self._ids_stale = False
         return self._ids
 
-    def _refill(self, now: float) -> None:
-        if self._last_refill >= 0:
-            earned = (now - self._last_refill) * BUDGET_BYTES_PER_S
-            self._tokens = min(BUDGET_BURST_BYTES, self._tokens + earned)
-        self._last_refill = now
-
     def _send(
         self,
         address: tuple[str, int],
@@ -548,8 +450,7 @@
         if force_local and self.local not in members:
             members.insert(0, self.local)
         size = HEADER_BYTES + UPDATE_BYTES * (len(members) + len(marks))
-        self._tokens -= size
-        self.sent_bytes += size
+        self._budget.spend(size)
         message = Message(
             kind,
             self.local.node_id,
@@ -562,19 +463,10 @@
         return Send(address, message)
 
     def _take_news(self) -> tuple[list[Member], list[Mark]]:
-        affordable = int((self._tokens - HEADER_BYTES) / UPDATE_BYTES)
-        room = max(0, min(MAX_UPDATES, affordable))
-        members: list[Member] = []
-        marks: list[Mark] = []
-        if not self._news or not room:
-            return members, marks
-        ordered = sorted(self._news.items(), key=lambda item: -item[1].left)
-        for key, news in ordered[:room]:
-            if news.member is not None:
-                members.append(news.member)
-            elif news.mark is not None:
-                marks.append(news.mark)
-            news.left -= 1
-            if news.left <= 0:
-                del self._news[key]
+        if not self._news:
+            return [], []
+        room = min(MAX_UPDATES, self._budget.room(HEADER_BYTES, UPDATE_BYTES))
+        taken = self._news.take(room)
+        members = [item for item in taken if isinstance(item, Member)]
+        marks = [item for item in taken if isinstance(item, Mark)]
         return members, marks
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,14 +5,8 @@
 from bench.virtual import VirtualFleet
 from dogwooddock.errors import PeerError
 from dogwooddock.peers.codec import decode_gossip, encode_gossip
-from dogwooddock.policy.membership import (
-    BUDGET_BURST_BYTES,
-    BUDGET_BYTES_PER_S,
-    Kind,
-    Member,
-    MemberState,
-    Message,
-)
+from dogwooddock.policy.members import Kind, Member, MemberState, Message
+from dogwooddock.policy.membership import BUDGET_BURST_BYTES, BUDGET_BYTES_PER_S
 from dogwooddock.policy.quarantine import Mark
 
 SIZE = 26
