Have the gates of a pool confirm a mark before the reply

Cause: the mark of a lost target went out as a datagram; a resend within its flight time could still cost a third target, and the test of it could go either way. Change: the gate calls the gates of its pool, which confirm, within 0.5 s; gossip tells the rest. Conclusion: only a gate that cannot be reached may still run a request that two targets were lost to.

--- a/dogwooddock/node.py
+++ b/dogwooddock/node.py
@@ -19,7 +19,7 @@
 from .operators.admin import AdminServer
 from .peers.batching import ZoneBatches
 from .peers.client import PeerConnections
-from .peers.codec import from_wire_member
+from .peers.codec import from_wire_member, to_wire_mark
 from .peers.fleet import NodeFleet, PeerHandler
 from .peers.gossip import Gossip, GossipEvents
 from .peers.server import PeerServer
@@ -51,6 +51,7 @@
 CONTACT_PERIOD_S = 5.0
 JOIN_PERIOD_S = 0.5
 LEAVE_SPREAD_S = 0.3
+MARK_TIMEOUT_S = 0.5
 RESERVED_THREADS = 8
 MAX_DIRECT_WRITERS = 2
 
@@ -141,7 +142,7 @@
             tickets=TicketBook("", self.node_id, os.urandom(32), self.started_at),
             quarantine=self.quarantine,
             keys=self.keys,
-            spread_mark=lambda mark: self.gossip.add_mark(mark),
+            spread_mark=self._spread_mark,
             catch_up=lambda source, version: self.sync.catch_up(source, version),
             config_version=lambda: self.config.version,
         )
@@ -204,6 +205,7 @@
             self.batches,
             self.config.log_since,
             self.known_members,
+            self._on_mark,
         )
         self.peer_server = PeerServer(self._sockets.tcp, handler)
         limits = ServerLimits(
@@ -341,6 +343,31 @@
     def _on_newer_config(self, version: int, member: Member) -> None:
         self.sync.notice(version, member)
 
+    def _spread_mark(self, mark: Mark) -> None:
+        """Tell the gates of the own pool, which confirm, and gossip to the rest."""
+        self.gossip.add_mark(mark)
+        deadline = time.monotonic() + MARK_TIMEOUT_S
+        announcement = self._members.by_id.get(self.node_id)
+        pool = announcement.pool if announcement else ""
+        for member in self.known_members():
+            left = deadline - time.monotonic()
+            if left <= 0:
+                log.warning("mark_not_confirmed", request=mark.fingerprint)
+                return
+            if member.pool != pool or member.node_id == self.node_id:
+                continue
+            if member.state <= MemberState.SUSPECT:
+                self._send_mark(member, mark, left)
+
+    def _send_mark(self, member: Member, mark: Mark, timeout_s: float) -> None:
+        wire = to_wire_mark(mark)
+        try:
+            self.connections.run(
+                member.address, timeout_s, lambda client: client.add_mark(wire)
+            )
+        except PeerError:
+            log.info("mark_not_confirmed", request=mark.fingerprint, by=member.name)
+
     def _on_mark(self, mark: Mark) -> bool:
         return self.quarantine.add(time.monotonic(), mark)
 
--- a/dogwooddock/peers/codec.py
+++ b/dogwooddock/peers/codec.py
@@ -1,6 +1,13 @@
 """Conversion between gossip messages and datagrams."""
 
-__all__ = ["decode_gossip", "encode_gossip", "from_wire_member", "to_wire_member"]
+__all__ = [
+    "decode_gossip",
+    "encode_gossip",
+    "from_wire_mark",
+    "from_wire_member",
+    "to_wire_mark",
+    "to_wire_member",
+]
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.TSerialization import deserialize, serialize
@@ -50,6 +57,20 @@
     )
 
 
+def to_wire_mark(mark: Mark) -> ttypes.QuarantineMark:
+    """Return the wire form of a quarantine mark."""
+    return ttypes.QuarantineMark(
+        mark.fingerprint, _signed(mark.node_id), mark.remaining_s, mark.released
+    )
+
+
+def from_wire_mark(wire: ttypes.QuarantineMark) -> Mark:
+    """Return the quarantine mark of a wire form."""
+    return Mark(
+        wire.fingerprint, _unsigned(wire.node_id), wire.remaining_s, wire.released
+    )
+
+
 def encode_gossip(message: Message) -> bytes:
     """Serialize a gossip message."""
     wire = ttypes.Gossip(
@@ -59,12 +80,7 @@
         _signed(message.subject),
         message.config_version,
         [to_wire_member(member) for member in message.members],
-        [
-            ttypes.QuarantineMark(
-                mark.fingerprint, _signed(mark.node_id), mark.remaining_s, mark.released
-            )
-            for mark in message.marks
-        ],
+        [to_wire_mark(mark) for mark in message.marks],
     )
     return serialize(wire, protocol_factory=_FACTORY)
 
@@ -84,15 +100,7 @@
             _unsigned(wire.subject),
             wire.config_version,
             tuple(from_wire_member(member) for member in wire.members),
-            tuple(
-                Mark(
-                    mark.fingerprint,
-                    _unsigned(mark.node_id),
-                    mark.remaining_s,
-                    mark.released,
-                )
-                for mark in wire.marks
-            ),
+            tuple(from_wire_mark(mark) for mark in wire.marks),
         )
     except Exception as exc:
         raise PeerError(f"datagram is not a gossip message: {exc}") from exc
--- a/dogwooddock/peers/fleet.py
+++ b/dogwooddock/peers/fleet.py
@@ -11,16 +11,18 @@
 from ..policy.configlog import LogSlice
 from ..policy.keys import KeyRow
 from ..policy.members import Member
+from ..policy.quarantine import Mark
 from ..policy.tickets import parse_ticket
 from .batching import to_wire
 from .client import PeerConnections
-from .codec import to_wire_member
+from .codec import from_wire_mark, to_wire_member
 from .wire.ttypes import (
     Attempt,
     ClaimResult,
     ClaimWrite,
     ConfigLog,
     KeyStatus,
+    QuarantineMark,
     Reply,
 )
 from .wire.ttypes import Member as WireMember
@@ -125,11 +127,13 @@
         keys: KeyBatches | None,
         log_since: Callable[[int], LogSlice],
         members: Callable[[], list[Member]],
+        on_mark: Callable[[Mark], object],
     ):
         self._gate = gate
         self._keys = keys
         self._log_since = log_since
         self._members = members
+        self._on_mark = on_mark
 
     def call(self, attempt: Attempt) -> Reply:
         """Run an attempt at this gate."""
@@ -178,3 +182,8 @@
     def pull_members(self, requester: int) -> list[WireMember]:
         """Return every member that this node knows."""
         return [to_wire_member(member) for member in self._members()]
+
+    def add_mark(self, mark: QuarantineMark) -> bool:
+        """Accept a quarantine mark from a gate of the same pool."""
+        self._on_mark(from_wire_mark(mark))
+        return True
--- a/dogwooddock/peers/gossip.py
+++ b/dogwooddock/peers/gossip.py
@@ -20,7 +20,6 @@
 
 MAX_DATAGRAM_BYTES = 8192
 TICK_S = 0.1
-MARK_TIMEOUT_S = 0.2
 
 log = structlog.get_logger()
 
@@ -59,7 +58,6 @@
 @dataclass(frozen=True, slots=True)
 class _AddMark:
     mark: Mark
-    urgent: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,8 +114,8 @@
                 sends = membership.join(contacts)
             case _Merge(members):
                 membership.merge(now, members)
-            case _AddMark(mark, urgent):
-                sends = membership.add_mark(mark, urgent)
+            case _AddMark(mark):
+                membership.add_mark(mark)
             case _Leave():
                 sends = membership.leave()
         self._send(sends)
@@ -216,11 +214,8 @@
         self._tell(_Merge(members))
 
     def add_mark(self, mark: Mark) -> None:
-        """Spread a quarantine mark; return once the own pool has been told."""
-        try:
-            self._actor.ask(_AddMark(mark, urgent=True), timeout=MARK_TIMEOUT_S)
-        except (pykka.ActorDeadError, pykka.Timeout):
-            log.warning("mark_not_spread", request=mark.fingerprint)
+        """Spread a quarantine mark."""
+        self._tell(_AddMark(mark))
 
     def leave(self) -> None:
         """Announce that this process stops."""
--- a/dogwooddock/peers/peer.thrift
+++ b/dogwooddock/peers/peer.thrift
@@ -117,4 +117,5 @@
   list<ClaimResult> read_claims(1: list<string> keys)
   ConfigLog pull_config(1: i64 position)
   list<Member> pull_members(1: i64 requester)
+  bool add_mark(1: QuarantineMark mark)
 }
--- a/dogwooddock/peers/wire/Peer.py
+++ b/dogwooddock/peers/wire/Peer.py
@@ -93,6 +93,14 @@
         """
         pass
 
+    def add_mark(self, mark):
+        """
+        Parameters:
+         - mark
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -393,6 +401,38 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "pull_members failed: unknown result")
 
+    def add_mark(self, mark):
+        """
+        Parameters:
+         - mark
+
+        """
+        self.send_add_mark(mark)
+        return self.recv_add_mark()
+
+    def send_add_mark(self, mark):
+        self._oprot.writeMessageBegin('add_mark', TMessageType.CALL, self._seqid)
+        args = add_mark_args()
+        args.mark = mark
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_add_mark(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = add_mark_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "add_mark failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -407,6 +447,7 @@
         self._processMap["read_claims"] = Processor.process_read_claims
         self._processMap["pull_config"] = Processor.process_pull_config
         self._processMap["pull_members"] = Processor.process_pull_members
+        self._processMap["add_mark"] = Processor.process_add_mark
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -636,6 +677,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_add_mark(self, seqid, iprot, oprot):
+        args = add_mark_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = add_mark_result()
+        try:
+            result.success = self._handler.add_mark(args.mark)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("add_mark", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -2024,5 +2088,151 @@
 pull_members_result.thrift_spec = (
     (0, TType.LIST, 'success', (TType.STRUCT, [Member, None], False), None, ),  # 0
 )
+
+
+class add_mark_args(object):
+    """
+    Attributes:
+     - mark
+
+    """
+
+    __slots__ = (
+        'mark',
+    )
+
+
+    def __init__(self, mark=None,):
+        self.mark = mark
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.mark = QuarantineMark()
+                    self.mark.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('add_mark_args')
+        if self.mark is not None:
+            oprot.writeFieldBegin('mark', TType.STRUCT, 1)
+            self.mark.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(add_mark_args)
+add_mark_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'mark', [QuarantineMark, None], None, ),  # 1
+)
+
+
+class add_mark_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+    __slots__ = (
+        'success',
+    )
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.BOOL:
+                    self.success = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('add_mark_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.BOOL, 0)
+            oprot.writeBool(self.success)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(add_mark_result)
+add_mark_result.thrift_spec = (
+    (0, TType.BOOL, 'success', None, None, ),  # 0
+)
 fix_spec(all_structs)
 del all_structs
--- a/dogwooddock/policy/membership.py
+++ b/dogwooddock/policy/membership.py
@@ -25,7 +25,6 @@
 PAUSE_GAP_S = 2.5
 RETRANSMIT_FACTOR = 4
 MAX_UPDATES = 12
-MAX_URGENT = 32
 BUDGET_BYTES_PER_S = 2600.0
 BUDGET_BURST_BYTES = 12_000.0
 HEADER_BYTES = 70
@@ -138,26 +137,10 @@
         peers = self._pick(GOSSIP_FANOUT + 1)
         return [self._send(peer.address, Kind.CONFIG_HINT, 0) for peer in peers]
 
-    def add_mark(self, mark: Mark, urgent: bool = False) -> list[Send]:
-        """Spread a quarantine mark.
-
-        Args:
-            mark: The mark.
-            urgent: Whether to tell the members of the own pool at once.
-        """
+    def add_mark(self, mark: Mark) -> None:
+        """Spread a quarantine mark."""
         key = (mark.fingerprint, mark.node_id, mark.released)
         self._news.put(key, mark, self._retransmits())
-        if not urgent:
-            return []
-        mates = [
-            member
-            for member in self.alive()
-            if member.pool == self.local.pool and member.node_id != self.local.node_id
-        ]
-        message = Message(
-            Kind.NEWS, self.local.node_id, 0, 0, self.config_version, (), (mark,)
-        )
-        return [Send(mate.address, message) for mate in mates[:MAX_URGENT]]
 
     def tick(self, now: float) -> list[Send]:
         """Run timers; call at least every ``GOSSIP_PERIOD_S``."""
