Convert node identities in one place; drop dead code

Cause: a last reading found the signed form of a node identity converted in codec.py and again in fleet.py, and four things nobody used: Selector.withdrawn, Admission.expire, ChainEntry.cancelled and the call counter of PeerConnections. Change: fleet.py calls the codec's to_wire_id and from_wire_id; the dead code is gone. Behaviour is unchanged. A run of 91 tests printed no failure but was stopped by its own 75 s limit before its summary; the whole suite was not run again.

--- a/dogwooddock/peers/client.py
+++ b/dogwooddock/peers/client.py
@@ -46,7 +46,6 @@
     def __init__(self) -> None:
         self._idle: dict[tuple[str, int], list[_Connection]] = {}
         self._lock = threading.Lock()
-        self.calls = 0
 
     def run(
         self,
@@ -69,7 +68,6 @@
             PeerError: The call was sent and its answer is unknown.
         """
         conn = self._take(address)
-        self.calls += 1
         try:
             conn.set_timeout(timeout_s)
             result = call(conn.client)
--- a/dogwooddock/peers/codec.py
+++ b/dogwooddock/peers/codec.py
@@ -3,8 +3,10 @@
 __all__ = [
     "decode_gossip",
     "encode_gossip",
+    "from_wire_id",
     "from_wire_mark",
     "from_wire_member",
+    "to_wire_id",
     "to_wire_mark",
     "to_wire_member",
 ]
@@ -21,18 +23,20 @@
 _WIRE_OFFSET = 1 << 63
 
 
-def _signed(number: int) -> int:
+def to_wire_id(number: int) -> int:
+    """Return the signed wire form of a node identity."""
     return number - 2 * _WIRE_OFFSET if number >= _WIRE_OFFSET else number
 
 
-def _unsigned(number: int) -> int:
+def from_wire_id(number: int) -> int:
+    """Return the node identity of a signed wire form."""
     return number + 2 * _WIRE_OFFSET if number < 0 else number
 
 
 def to_wire_member(member: Member) -> ttypes.Member:
     """Return the wire form of a member record."""
     return ttypes.Member(
-        _signed(member.node_id),
+        to_wire_id(member.node_id),
         member.name,
         member.ip,
         member.port,
@@ -46,7 +50,7 @@
 def from_wire_member(wire: ttypes.Member) -> Member:
     """Return the member record of a wire form."""
     return Member(
-        _unsigned(wire.node_id),
+        from_wire_id(wire.node_id),
         wire.name,
         wire.ip,
         wire.port,
@@ -60,14 +64,14 @@
 def to_wire_mark(mark: Mark) -> ttypes.QuarantineMark:
     """Return the wire form of a quarantine mark."""
     return ttypes.QuarantineMark(
-        mark.fingerprint, _signed(mark.node_id), mark.remaining_s, mark.released
+        mark.fingerprint, to_wire_id(mark.node_id), mark.remaining_s, mark.released
     )
 
 
 def from_wire_mark(wire: ttypes.QuarantineMark) -> Mark:
     """Return the quarantine mark of a wire form."""
     return Mark(
-        wire.fingerprint, _unsigned(wire.node_id), wire.remaining_s, wire.released
+        wire.fingerprint, from_wire_id(wire.node_id), wire.remaining_s, wire.released
     )
 
 
@@ -75,9 +79,9 @@
     """Serialize a gossip message."""
     wire = ttypes.Gossip(
         int(message.kind),
-        _signed(message.sender),
+        to_wire_id(message.sender),
         message.sequence,
-        _signed(message.subject),
+        to_wire_id(message.subject),
         message.config_version,
         [to_wire_member(member) for member in message.members],
         [to_wire_mark(mark) for mark in message.marks],
@@ -95,9 +99,9 @@
         wire = deserialize(ttypes.Gossip(), data, protocol_factory=_FACTORY)
         return Message(
             Kind(wire.kind),
-            _unsigned(wire.sender),
+            from_wire_id(wire.sender),
             wire.sequence,
-            _unsigned(wire.subject),
+            from_wire_id(wire.subject),
             wire.config_version,
             tuple(from_wire_member(member) for member in wire.members),
             tuple(from_wire_mark(mark) for mark in wire.marks),
--- a/dogwooddock/peers/fleet.py
+++ b/dogwooddock/peers/fleet.py
@@ -15,7 +15,7 @@
 from ..policy.tickets import parse_ticket
 from .batching import to_wire
 from .client import PeerConnections
-from .codec import from_wire_mark, to_wire_member
+from .codec import from_wire_id, from_wire_mark, to_wire_id, to_wire_member
 from .wire.ttypes import (
     Attempt,
     ClaimResult,
@@ -89,7 +89,7 @@
             (host, int(port)),
             wait_s + STATUS_GRACE_S,
             lambda client: client.key_status(
-                _signed(holder), attempt_id, int(wait_s * 1e6)
+                to_wire_id(holder), attempt_id, int(wait_s * 1e6)
             ),
         )
 
@@ -114,10 +114,6 @@
         )
 
 
-def _signed(number: int) -> int:
-    return number - (1 << 64) if number >= 1 << 63 else number
-
-
 class PeerHandler:
     """Methods of the thrift service."""
 
@@ -145,8 +141,7 @@
 
     def key_status(self, holder: int, attempt_id: str, wait_us: int) -> KeyStatus:
         """Tell what this gate knows about an attempt."""
-        unsigned = holder + (1 << 64) if holder < 0 else holder
-        return self._gate.key_status(unsigned, attempt_id, wait_us / 1e6)
+        return self._gate.key_status(from_wire_id(holder), attempt_id, wait_us / 1e6)
 
     def issue_tickets(self, count: int) -> list[str]:
         """Issue tickets of this node."""
--- a/dogwooddock/policy/admission.py
+++ b/dogwooddock/policy/admission.py
@@ -184,19 +184,6 @@
             admitted.append(call)
         return admitted
 
-    def expire(self, now: float) -> list[QueuedCall]:
-        """Remove waiting calls that can no longer be answered in time."""
-        expired = [
-            call
-            for call in self._queue
-            if now + self._expected_s(now, call.kind) * 0.5 >= call.deadline
-        ]
-        if expired:
-            self._queue = [call for call in self._queue if call not in expired]
-            for call in expired:
-                self.levels.refused(now, call.importance)
-        return expired
-
     def withdraw(self, call: QueuedCall) -> bool:
         """Remove a waiting call; return False if it does not wait."""
         if call not in self._queue:
--- a/dogwooddock/policy/allowance.py
+++ b/dogwooddock/policy/allowance.py
@@ -22,7 +22,6 @@
         downstream_level: Highest admission level met below, in hundredths.
         failed_below: Whether a call below failed or was refused.
         outstanding: Calls below that have not returned.
-        cancelled: Whether the request was cancelled above.
     """
 
     available: int
@@ -35,7 +34,6 @@
     downstream_level: int = 0
     failed_below: bool = False
     outstanding: int = 0
-    cancelled: bool = False
     holders: int = 1
 
     @property
--- a/dogwooddock/policy/selection.py
+++ b/dogwooddock/policy/selection.py
@@ -138,10 +138,6 @@
         candidate.outstanding -= 1
         self._count_failure(candidate, now)
 
-    def withdrawn(self, candidate: Candidate) -> None:
-        """Account for a call whose result says nothing about the target."""
-        candidate.outstanding -= 1
-
     def _count_failure(self, candidate: Candidate, now: float) -> None:
         candidate.failures += 1
         if candidate.failures < FAILURES_TO_EJECT:
