Link the calls of a target to the request that it runs

Cause: callers and the local target send from one address, so the ingress could not tell new requests from calls of running work. Change: the ingress looks the part before the last dot up among the requests that run at its own gate; importance, depth and blame for a failure follow. A deployment whose ids don't nest loses only the order of inner calls.

--- a/dogwooddock/mesh/gate.py
+++ b/dogwooddock/mesh/gate.py
@@ -56,6 +56,7 @@
     sent_at: float = 0.0
     timer: asyncio.TimerHandle | None = None
     resent: bool = False
+    failed_below: bool = False
 
     @property
     def finished(self) -> bool:
@@ -94,7 +95,6 @@
         quarantine: Requests that made targets crash.
         on_target_lost: Called with the fingerprints of the calls that a crash of the
             target took along.
-        failed_below: Reports whether a call of the target failed at about this time.
     """
 
     def __init__(
@@ -102,18 +102,17 @@
         wire: HeaderFormat,
         quarantine: Quarantine,
         on_target_lost: Callable[[list[str]], None],
-        failed_below: Callable[[float], bool],
     ):
         self._loop = asyncio.get_running_loop()
         self._wire = wire
         self._quarantine = quarantine
         self._on_target_lost = on_target_lost
-        self._failed_below = failed_below
         self._limit = StaticLimit(INITIAL_SLOTS)
         self.admission = Admission(self._limit, INITIAL_SLOTS)
         self._target: GateTarget | None = None
         self._pool: ConnectionPool | None = None
         self._waiting: dict[QueuedCall, GateCall] = {}
+        self._running: dict[bytes, GateCall] = {}
         self._sweeping = False
         self._down_until = 0.0
         self._suspects: list[str] = []
@@ -173,6 +172,15 @@
             self.accepting,
         )
 
+    def parent_of(self, request_id: bytes) -> GateCall | None:
+        """Return the running call that a request of the local target belongs to.
+
+        A target forms the identity of its own calls from that of the request that it
+        runs, a dot and a part of its own. None if no such request runs here.
+        """
+        parent_id, dot, _ = request_id.rpartition(b".")
+        return self._running.get(parent_id) if dot else None
+
     # Arrival.
 
     def submit(self, call: MeshCall, done: Callable[[MeshReply], None]) -> GateCall:
@@ -314,6 +322,7 @@
             )
         block = call.headers + self._wire.target_headers(call, remaining_s)
         self.counts.sent += 1
+        self._running[call.request_id] = gate_call
         conn.send(
             render_request(call.method, call.path, block, call.body),
             lambda result: self._on_result(gate_call, pool, conn, result),
@@ -328,15 +337,20 @@
         result: Response | Lost,
     ) -> None:
         gate_call.conn = None
+        self._forget_running(gate_call)
         if isinstance(result, Response):
             pool.give_back(conn)
             self._on_response(gate_call, result)
         else:
             self._on_lost(gate_call, pool, result)
 
+    def _forget_running(self, gate_call: GateCall) -> None:
+        request_id = gate_call.call.request_id
+        if self._running.get(request_id) is gate_call:
+            del self._running[request_id]
+
     def _on_response(self, gate_call: GateCall, response: Response) -> None:
         answer = self._wire.read_answer(response)
-        now = self._loop.time()
         reply = MeshReply(Outcome.ANSWERED, status=answer.status, reached=True)
         failed = answer.status >= 500
         if answer.wrong_target:
@@ -348,7 +362,7 @@
             reply.outcome, reply.reason = Outcome.UNKNOWN, Reason.TARGET_FAILED
         else:
             reply.headers, reply.body = answer.headers, answer.body
-            if failed and self._failed_below(now):
+            if failed and gate_call.failed_below:
                 reply.reason = Reason.FAILED_BELOW
         self._release(gate_call, failed)
         self._finish(gate_call, reply)
@@ -399,6 +413,7 @@
         conn, gate_call.conn = gate_call.conn, None
         if conn is not None:
             conn.abandon()
+            self._forget_running(gate_call)
             self._release(gate_call, failed=False)
 
     def cancel(self, gate_call: GateCall) -> None:
--- a/dogwooddock/mesh/ingress.py
+++ b/dogwooddock/mesh/ingress.py
@@ -25,6 +25,7 @@
 from .config import ConfigHolder
 from .environment import NodeEnvironment
 from .fleet import Fleet, Sending
+from .gate import Gate, GateCall
 from .routing import MeshRoute
 from .wireformat import CallerFields, HeaderFormat
 
@@ -33,9 +34,7 @@
 MAX_ROOM_RESENDS = 1
 LINK_WAIT_S = 0.03
 LINK_WAIT_SHARE = 0.12
-BELOW_MEMORY_S = 0.03
-INNER_IMPORTANCE = 9
-MOST_CALLER_IMPORTANCE = 8
+CALLER_CLASSES = 5
 
 log = structlog.get_logger()
 
@@ -50,6 +49,7 @@
         route: Its route.
         pool: Pool that it goes to.
         arrived_at: Loop time of its arrival, in seconds.
+        parent: The call that the local target made it for, or None.
     """
 
     exchange: Exchange
@@ -57,6 +57,7 @@
     route: MeshRoute
     pool: str
     arrived_at: float
+    parent: GateCall | None = None
     sending: Sending | None = None
     timer: asyncio.TimerHandle | None = None
     tried: set[int] = field(default_factory=set)
@@ -78,6 +79,7 @@
         wire: Header names and values.
         config: Configuration in force.
         fleet: Gates that calls can go to.
+        gate: Gate of the local target.
         budget: Retries that this node may make.
         quarantine: Requests that made targets crash.
         rng: Source of spreads.
@@ -89,6 +91,7 @@
         wire: HeaderFormat,
         config: ConfigHolder,
         fleet: Fleet,
+        gate: Gate,
         budget: RetryBudget,
         quarantine: Quarantine,
         rng: Random,
@@ -98,18 +101,14 @@
         self._wire = wire
         self._config = config
         self._fleet = fleet
+        self._gate = gate
         self._budget = budget
         self._quarantine = quarantine
         self._rng = rng
-        self._failed_below_at = -1.0
         self.in_flight = 0
         self.resends = 0
         self.outcomes: Counter[tuple[str, str, str]] = Counter()
 
-    def failed_below(self, now: float) -> bool:
-        """Report whether a call of the local target failed just now."""
-        return now - self._failed_below_at < BELOW_MEMORY_S
-
     # Arrival.
 
     def handle(self, exchange: Exchange) -> None:
@@ -147,10 +146,8 @@
         wait_s = route.timeout_s
         if fields.wait_s is not None:
             wait_s = min(wait_s, fields.wait_s)
-        inner = exchange.peer_host == self._env.ip
-        importance = INNER_IMPORTANCE
-        if not inner:
-            importance = max(0, MOST_CALLER_IMPORTANCE - route.priority)
+        parent = self._gate.parent_of(fields.request_id)
+        importance, depth = _standing(route, parent)
         path = request.target.decode("latin-1")
         call = MeshCall(
             fields.request_id,
@@ -164,11 +161,11 @@
             now + route.objective_s,
             route.idempotent,
             importance,
-            1 if inner else 0,
+            depth,
             self._env.pool,
             fingerprint(self._env.pool, "", request.body, path),
         )
-        pending = _Pending(exchange, call, route, pool, now)
+        pending = _Pending(exchange, call, route, pool, now, parent)
         self.in_flight += 1
         exchange.on_gone = lambda: self._on_gone(pending)
         pending.timer = self._loop.call_at(
@@ -322,8 +319,8 @@
         self.in_flight -= 1
         if pending.timer is not None:
             pending.timer.cancel()
-        if pending.call.depth and not good:
-            self._failed_below_at = self._loop.time()
+        if pending.parent is not None and not good:
+            pending.parent.failed_below = True
         self.outcomes[(pending.route.name, outcome.value, reason.value)] += 1
 
     def _log_failure(self, pending: _Pending, reason: Reason, status: int) -> None:
@@ -347,3 +344,15 @@
             gate_queued=load.queued,
             gate_level=load.level,
         )
+
+
+def _standing(route: MeshRoute, parent: GateCall | None) -> tuple[int, int]:
+    """Return importance and depth of a request.
+
+    Calls of a run that has begun go before new requests, since its work would be lost
+    without them; among themselves both kinds keep the order of the caller's request.
+    """
+    if parent is None:
+        return CALLER_CLASSES - 1 - min(route.priority, CALLER_CLASSES - 1), 0
+    call = parent.call
+    return CALLER_CLASSES + call.importance % CALLER_CLASSES, call.depth + 1
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -90,18 +90,14 @@
         self.quarantine = Quarantine()
         self.config = ConfigHolder(parts.decode_config, self._on_config)
         self.budget = RetryBudget(env.bounds.retry_ratio * RETRY_SHARE)
-        self.gate = Gate(
-            parts.wire,
-            self.quarantine,
-            self._on_target_lost,
-            lambda now: self.ingress.failed_below(now),
-        )
+        self.gate = Gate(parts.wire, self.quarantine, self._on_target_lost)
         self.fleet = Fleet(env.peer_listen, env.zone, self.gate, self, rng)
         self.ingress = Ingress(
             env,
             parts.wire,
             self.config,
             self.fleet,
+            self.gate,
             self.budget,
             self.quarantine,
             rng,
