--- /dev/null
+++ b/bench/mesh_standin.py
@@ -0,0 +1,366 @@
+"""Stand-ins of the users' platform: its store, and targets that check in."""
+
+__all__ = ["StoreStandIn", "TargetMode", "TargetStandIn"]
+
+import asyncio
+import base64
+import hashlib
+import json
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+from dogwooddock.http1.client import ConnectionPool
+from dogwooddock.http1.messages import Response, render_request
+from dogwooddock.http1.server import Exchange, HttpServer
+from dogwooddock.mesh.rows import Change, HistoryLost, MemoryRows, Precondition, Row
+
+Address = tuple[str, int]
+
+
+def _render_row(row: Row) -> dict[str, Any]:
+    shown: dict[str, Any] = {
+        "table": row.table,
+        "part": row.part,
+        "key": row.key,
+        "ver": row.version,
+    }
+    if row.removed:
+        shown["removed"] = True
+    else:
+        shown["value"] = base64.b64encode(row.value).decode()
+    return shown
+
+
+@dataclass
+class StoreFaults:
+    """What is wrong with the store.
+
+    Args:
+        refuse: Status that every call is refused with; 0 for none.
+        silent: Whether calls get no answer and do nothing.
+        lose_answers: Whether writes are performed and not answered.
+        delay_s: Time added to each answer, in seconds.
+    """
+
+    refuse: int = 0
+    silent: bool = False
+    lose_answers: bool = False
+    delay_s: float = 0.0
+
+
+class StoreStandIn:
+    """The platform's store over HTTP, on rows in memory."""
+
+    def __init__(self) -> None:
+        self.rows = MemoryRows()
+        self.faults = StoreFaults()
+        self.calls: Counter[str] = Counter()
+        self._server = HttpServer(self._handle)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.address: Address = ("", 0)
+
+    async def start(self) -> Address:
+        """Listen on a port of the system's choice; return the address."""
+        self.address = await self._server.start(("127.0.0.1", 0))
+        return self.address
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self._server.stop()
+        for task in self._tasks:
+            task.cancel()
+
+    async def put(self, table: str, key: str, value: bytes, part: str = "") -> int:
+        """Write a row as the operator does; return its version."""
+        result = await self.rows.transact([], [Change(table, part, key, value)])
+        return result.version
+
+    def forget_history(self) -> None:
+        """Drop all changes up to now."""
+        self.rows.forgotten = self.rows.version + 1
+        self.rows.version += 1
+
+    def _handle(self, exchange: Exchange) -> None:
+        task = asyncio.get_running_loop().create_task(self._serve(exchange))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, exchange: Exchange) -> None:
+        path = exchange.request.path.decode()
+        self.calls[path] += 1
+        faults = self.faults
+        if faults.delay_s:
+            await asyncio.sleep(faults.delay_s)
+        if faults.silent:
+            return
+        if faults.refuse:
+            exchange.respond(faults.refuse, b"", b"")
+            return
+        status, body = await self._perform(path, exchange)
+        if path == "/rows-tx" and faults.lose_answers:
+            return
+        exchange.respond(status, b"", json.dumps(body).encode())
+
+    async def _perform(
+        self, path: str, exchange: Exchange
+    ) -> tuple[int, dict[str, Any]]:
+        query = exchange.request.query()
+        if path == "/rows-tx":
+            return await self._transact(json.loads(exchange.request.body))
+        if path == "/rows-parts":
+            return 200, {"parts": await self.rows.parts(query["table"])}
+        if path == "/rows-get":
+            page = await self.rows.read(query["table"], query.get("part", ""))
+        else:
+            wait_s = int(query["wait_ms"]) / 1000
+            after = int(query["after"])
+            try:
+                page = await self.rows.changes(query["table"], after, wait_s)
+            except HistoryLost:
+                return 410, {}
+        rows = [_render_row(row) for row in page.rows]
+        return 200, {"rows": rows, "ver": page.version, "now": "0ms"}
+
+    async def _transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        preconditions = [
+            Precondition(item["table"], item["part"], item["key"], item["ver"])
+            for item in body["precondition"]
+        ]
+        changes = [
+            Change(
+                item["table"],
+                item["part"],
+                item["key"],
+                base64.b64decode(item["value"]),
+            )
+            for item in body["puts"]
+        ]
+        changes += [
+            Change(item["table"], item["part"], item["key"], None)
+            for item in body["remove"]
+        ]
+        result = await self.rows.transact(preconditions, changes)
+        if not result.applied:
+            return 412, {"rows": [_render_row(row) for row in result.rows]}
+        return 200, {"ver": result.version, "now": "0ms"}
+
+
+@dataclass
+class TargetMode:
+    """How a target behaves.
+
+    Args:
+        work_s: Time that a run takes, in seconds.
+        status: Status of its answers.
+        shed: Whether it states that requests did not run.
+        hang_when_full: Whether it never answers what finds no slot.
+        garble: How its answers are spoiled: cut, extra, late, junk, foreign, unframed.
+        calls: Paths that each run calls at the local node.
+    """
+
+    work_s: float = 0.0
+    status: int = 200
+    shed: bool = False
+    hang_when_full: bool = False
+    garble: str = ""
+    calls: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass
+class Run:
+    """One run of a request, as the target saw it."""
+
+    request_id: str
+    path: str
+    body: bytes
+    caller: str
+    deadline_ms: int
+    at: float
+
+
+@dataclass
+class TargetStandIn:
+    """A target beside a node: it checks in and answers requests.
+
+    Args:
+        pool: Pool that it belongs to.
+        slots: Requests that it runs at once.
+    """
+
+    pool: str
+    slots: int = 8
+    target_id: str = "t-1"
+    mode: TargetMode = field(default_factory=TargetMode)
+    born_ms: int = field(default_factory=lambda: int(time.time() * 1000))
+    runs: list[Run] = field(default_factory=list)
+    arrivals: int = 0
+    cut_off: int = 0
+    state: str = "ready"
+    address: Address = ("", 0)
+    checkin_address: Address = ("", 0)
+    caller_address: Address = ("", 0)
+    _sequence: int = 0
+    _busy: int = 0
+
+    def __post_init__(self) -> None:
+        self._server = HttpServer(self._handle)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> Address:
+        """Listen; return the address."""
+        self.address = await self._server.start((host, port))
+        return self.address
+
+    def stop(self) -> None:
+        """Stop at once, as a crash does."""
+        self._server.stop()
+        for conn in list(self._server.connections):
+            conn.abort()
+        for task in list(self._tasks):
+            task.cancel()
+
+    # Heartbeats.
+
+    async def check_in(self, state: str = "", sequence: int | None = None) -> int:
+        """Send a heartbeat; return the status of the answer."""
+        self.state = state or self.state
+        self._sequence += 1
+        body = {
+            "service": self.pool,
+            "address": f"{self.address[0]}:{self.address[1]}",
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": self.slots,
+            "state": self.state,
+            "cold_left": "0ms",
+            "seq": self._sequence if sequence is None else sequence,
+            "born": self.born_ms,
+        }
+        return await self._post("instances.heartbeat", body)
+
+    async def leave(self) -> int:
+        """Say that it leaves; return the status of the answer."""
+        self._sequence += 1
+        body = {"seq": self._sequence, "born": self.born_ms}
+        return await self._post("instances.deregister", body)
+
+    async def _post(self, call: str, body: dict[str, Any]) -> int:
+        target = f"/rpc?call={call}&of={self.target_id}".encode()
+        data = render_request(
+            b"POST", target, b"Host: node\r\n", json.dumps(body).encode()
+        )
+        conn = await ConnectionPool(self.checkin_address).open()
+        result = await conn.exchange(data)
+        conn.close()
+        return result.status if isinstance(result, Response) else 0
+
+    # Requests.
+
+    def _handle(self, exchange: Exchange) -> None:
+        request = exchange.request
+        if request.path == b"/health":
+            healthy = self.state == "ready"
+            block = f"Dogwooddock-Instance-Id: {self.target_id}\r\n".encode()
+            exchange.respond(200 if healthy else 503, block, b"")
+            return
+        self.arrivals += 1
+        fields = request.fields
+        request_id = fields[b"dogwooddock-request-id"].decode()
+        if fields.get(b"dogwooddock-expect-instance", b"").decode() != self.target_id:
+            exchange.respond(421, self._block(request_id), b"")
+        elif self.mode.shed:
+            block = self._block(request_id) + b"Dogwooddock-Not-Run: 1\r\n"
+            exchange.respond(503, block, b"")
+        elif self._busy >= self.slots:
+            if not self.mode.hang_when_full:
+                block = self._block(request_id) + b"Dogwooddock-Not-Run: 1\r\n"
+                exchange.respond(503, block, b"")
+        else:
+            self._busy += 1
+            task = asyncio.get_running_loop().create_task(self._run(exchange))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _run(self, exchange: Exchange) -> None:
+        fields = exchange.request.fields
+        request_id = fields[b"dogwooddock-request-id"].decode()
+        self.runs.append(
+            Run(
+                request_id,
+                exchange.request.target.decode(),
+                exchange.request.body,
+                fields.get(b"dogwooddock-caller-service", b"").decode(),
+                int(fields.get(b"dogwooddock-deadline-ms", b"0")),
+                time.monotonic(),
+            )
+        )
+        try:
+            status = await self._call_others(request_id) or self.mode.status
+            await asyncio.sleep(self.mode.work_s)
+        finally:
+            self._busy -= 1
+        if exchange.gone:
+            self.cut_off += 1
+            return
+        self._answer(exchange, request_id, status)
+
+    async def _call_others(self, request_id: str) -> int:
+        for number, (host, path) in enumerate(self.mode.calls):
+            block = (
+                f"Host: {host}\r\nDogwooddock-Request-Id: {request_id}.{number}\r\n"
+                "Dogwooddock-Deadline-Ms: 1000\r\n"
+            ).encode()
+            conn = await ConnectionPool(self.caller_address).open()
+            result = await conn.exchange(
+                render_request(b"GET", path.encode(), block, b"")
+            )
+            conn.close()
+            if not isinstance(result, Response) or result.status != 200:
+                return 500
+        return 0
+
+    def _block(self, request_id: str, stamp: bool = False) -> bytes:
+        block = f"Dogwooddock-Request-Id: {request_id}\r\n"
+        if stamp:
+            block += f"Dogwooddock-Server-Stamp: {self.target_id}\r\n"
+        return block.encode()
+
+    def _answer(self, exchange: Exchange, request_id: str, status: int) -> None:
+        body = answer_body(request_id)
+        block = self._block(request_id, stamp=True)
+        garble = self.mode.garble
+        if not garble:
+            exchange.respond(status, block, body)
+            return
+        whole = b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s" % (
+            block,
+            len(body),
+            body,
+        )
+        foreign = whole.replace(request_id.encode(), b"other-id")
+        unframed = b"HTTP/1.1 200 OK\r\n" + block + b"\r\n" + body
+        if garble == "cut":
+            exchange.write_raw(whole[:-4], close=True)
+        elif garble == "extra":
+            exchange.write_raw(whole + foreign)
+        elif garble == "late":
+            exchange.write_raw(whole)
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.02, exchange.write_raw, foreign)
+        elif garble == "junk":
+            exchange.write_raw(b"\x00\x01 no response\r\n\r\n", close=True)
+        elif garble == "foreign":
+            exchange.write_raw(foreign + whole)
+        elif garble == "unframed":
+            exchange.write_raw(unframed, close=True)
+        elif garble == "unframed-reset":
+            exchange.write_raw(unframed[:-4], reset=True)
+        elif garble == "unstamped":
+            exchange.respond(status, self._block(request_id), body)
+
+
+def answer_body(request_id: str) -> bytes:
+    """Return the body that a target gives a request."""
+    return hashlib.sha256(request_id.encode()).hexdigest().encode()
--- a/dogwooddock/http1/server.py
+++ b/dogwooddock/http1/server.py
@@ -3,6 +3,8 @@
 __all__ = ["Exchange", "HttpServer", "ServerLimits"]
 
 import asyncio
+import socket
+import struct
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -16,6 +18,7 @@
 SLOW_READER_TIMEOUT_S = 10.0
 WRITE_HIGH_BYTES = 256 * 1024
 BACKLOG = 1024
+RESET_DELAY_S = 0.01
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +83,16 @@
             self._rendered = (status, block, body)
             self._conn.flush()
 
+    def write_raw(self, data: bytes, close: bool = False, reset: bool = False) -> None:
+        """Write bytes as they are, as a faulty server does.
+
+        Args:
+            data: Bytes to write.
+            close: Whether the connection ends after them.
+            reset: Whether the connection is reset after them.
+        """
+        self._conn.write_raw(data, close, reset)
+
 
 Handler = Callable[[Exchange], None]
 
@@ -155,6 +168,27 @@
         if len(pending) < MAX_PIPELINED and self._paused_at is None:
             self._transport.resume_reading()
 
+    def write_raw(self, data: bytes, close: bool, reset: bool) -> None:
+        """Write bytes as they are."""
+        if self._pending:
+            self._pending.popleft()
+        if self.closed:
+            return
+        self._transport.write(data)
+        if close:
+            self._transport.close()
+        elif reset:
+            self._loop.call_later(RESET_DELAY_S, self.abort)
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None and not self.closed:
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+        self._transport.abort()
+
     def pause_writing(self) -> None:
         self._paused_at = self._loop.time()
         self._transport.pause_reading()
--- a/dogwooddock/mesh/fleet.py
+++ b/dogwooddock/mesh/fleet.py
@@ -1,6 +1,6 @@
 """The gates that calls can go to: choice, links and what their replies show."""
 
-__all__ = ["Fleet", "Sending"]
+__all__ = ["Fleet", "Sending", "node_id_of"]
 
 import asyncio
 from collections.abc import Callable
@@ -22,7 +22,8 @@
 Address = tuple[str, int]
 
 
-def _node_id(address: Address) -> int:
+def node_id_of(address: Address) -> int:
+    """Return the number that stands for a peer address."""
     parts = [int(part) for part in address[0].split(".")]
     return int.from_bytes(bytes(parts), "big") << 16 | address[1]
 
@@ -78,12 +79,12 @@
         records = self.members.ready(pool)
         pairs = []
         for record in records:
-            node_id = _node_id(record.address)
+            node_id = node_id_of(record.address)
             self._addresses[node_id] = record.address
             pairs.append((node_id, record.zone))
         self.selector.sync(pool, pairs)
         for record in records:
-            candidate = self.selector.find(pool, _node_id(record.address))
+            candidate = self.selector.find(pool, node_id_of(record.address))
             if candidate is not None and not candidate.reported_at:
                 candidate.limit = record.slots
         if pool in self._pool_used_at:
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -24,7 +24,7 @@
 from .calls import NodeRecord, StateUpdate
 from .config import ConfigHolder
 from .environment import NodeEnvironment
-from .fleet import Fleet
+from .fleet import Fleet, node_id_of
 from .follower import TableFollower
 from .gate import Gate
 from .heartbeats import TargetWatch
@@ -43,7 +43,6 @@
 ACK_POLL_S = 0.02
 ACK_WAIT_S = 0.7
 GC_THRESHOLD = 50_000
-NODE_ID_PORT_BITS = 16
 
 log = structlog.get_logger()
 
@@ -86,7 +85,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._pulled: dict[str, float] = {}
         self._stopping = asyncio.Event()
-        self.node_id = int(env.ip.replace(".", "")) << NODE_ID_PORT_BITS
+        self.node_id = node_id_of(env.peer_listen)
         self.quarantine = Quarantine()
         self.config = ConfigHolder(parts.decode_config, self._on_config)
         self.budget = RetryBudget(env.bounds.retry_ratio * RETRY_SHARE)
--- /dev/null
+++ b/tests/mesh_helpers.py
@@ -0,0 +1,217 @@
+"""A few nodes in one process, with stand-ins for store and targets."""
+
+import asyncio
+import json
+import socket
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from random import Random
+
+from bench.mesh_standin import StoreStandIn, TargetStandIn
+from dogwooddock.http1.client import ConnectionPool, Lost
+from dogwooddock.http1.messages import Response, render_request
+from dogwooddock.mesh.environment import Bounds, NodeEnvironment
+from dogwooddock.mesh.node import MeshNode
+from dogwooddock.platform.parts import platform_parts
+
+WAIT_S = 5.0
+
+
+def free_port(host="127.0.0.1"):
+    with socket.socket() as sock:
+        sock.bind((host, 0))
+        return sock.getsockname()[1]
+
+
+def route_entry(name, pool, prefix, **spec):
+    spec = {
+        "host": "app.example",
+        "prefix": prefix,
+        "kind": "idempotent",
+        "timeout": "2000ms",
+        "slo": "1000ms",
+        "priority": 1,
+        "attempts": 2,
+        **({"service": pool} if isinstance(pool, str) else {"split": pool}),
+        **spec,
+    }
+    return {"type": "routes", "metadata": {"name": name}, "spec": spec}
+
+
+def config_document(version, routes, **limits):
+    limits = {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 1 << 20,
+        "header_timeout": "3000ms",
+        "idle_timeout": "15000ms",
+        **limits,
+    }
+    body = {
+        "version": f"r{version}",
+        "resources": [
+            *routes,
+            {"type": "limits", "metadata": {}, "spec": limits},
+        ],
+    }
+    return json.dumps(body).encode()
+
+
+DEFAULT_ROUTES = [
+    route_entry("read", "shop", "/read/"),
+    route_entry("order", "shop", "/order/", kind="non_idempotent", priority=0),
+    route_entry("stock", "stock", "/stock/"),
+]
+
+
+@dataclass
+class Place:
+    """A node and the target beside it."""
+
+    env: NodeEnvironment
+    node: MeshNode
+    target: TargetStandIn
+
+    async def ask(self, path="/read/1", request_id="req-1", **options):
+        return await ask(self.env.caller_listen, path, request_id, **options)
+
+
+@dataclass
+class Fleet:
+    store: StoreStandIn
+    places: list[Place] = field(default_factory=list)
+
+    @property
+    def runs(self):
+        return [run for place in self.places for run in place.target.runs]
+
+
+async def ask(address, path, request_id, method="GET", body=b"", wait_ms=1500):
+    block = (
+        f"Host: app.example\r\nDogwooddock-Request-Id: {request_id}\r\n"
+        f"Dogwooddock-Deadline-Ms: {wait_ms}\r\n"
+    ).encode()
+    conn = await ConnectionPool(address).open()
+    result = await conn.exchange(
+        render_request(method.encode(), path.encode(), block, body)
+    )
+    conn.close()
+    return result
+
+
+async def until(condition, wait_s=WAIT_S):
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + wait_s
+    while not condition():
+        if loop.time() > deadline:
+            raise AssertionError(f"not reached: {condition}")
+        await asyncio.sleep(0.01)
+
+
+def environment(index, pool, target_address, store_address, **bounds):
+    host = f"127.0.0.{index + 1}"
+    return NodeEnvironment(
+        name=f"node-{index}",
+        ip=host,
+        zone=f"zone-{'ab'[index % 2]}",
+        pool=pool,
+        target=target_address,
+        caller_listen=(host, free_port(host)),
+        ready_listen=(host, free_port(host)),
+        checkin_listen=(host, free_port(host)),
+        peer_listen=(host, free_port(host)),
+        contacts=(),
+        store=store_address,
+        heartbeat_s=1.5,
+        memory_mb=300,
+        bounds=Bounds(**bounds),
+    )
+
+
+async def start_node(env):
+    node = MeshNode(env, platform_parts(env), Random(7))
+    await node.start()
+    return node
+
+
+async def start_place(fleet, index, pool, contacts=()):
+    target = TargetStandIn(pool, target_id=f"t-{index}")
+    await target.start(f"127.0.0.{index + 1}")
+    env = environment(index, pool, target.address, fleet.store.address)
+    env = NodeEnvironment(**{**_fields(env), "contacts": contacts})
+    node = await start_node(env)
+    target.checkin_address = env.checkin_listen
+    target.caller_address = env.caller_listen
+    place = Place(env, node, target)
+    fleet.places.append(place)
+    return place
+
+
+def _fields(env):
+    return {name: getattr(env, name) for name in env.__dataclass_fields__}
+
+
+async def restart_node(place):
+    """Kill the node's process state and start a new one at the same addresses."""
+    await kill_node(place.node)
+    place.node = await start_node(place.env)
+
+
+async def kill_node(node):
+    for server in (node.callers, node.probes, node.heartbeats):
+        server.stop()
+        for conn in list(server.connections):
+            conn.abort()
+    for task in node._tasks:
+        task.cancel()
+    node.links.stop()
+    node.fleet.close()
+    node.gate.close()
+    await asyncio.sleep(0.05)
+
+
+@asynccontextmanager
+async def running_fleet(*pools, routes=None, check_in=True):
+    """Start a store, and a node and a target for each pool named."""
+    fleet = Fleet(StoreStandIn())
+    await fleet.store.start()
+    document = config_document(1, routes or DEFAULT_ROUTES)
+    await fleet.store.put("op", "config", document)
+    try:
+        for index, pool in enumerate(pools):
+            await start_place(fleet, index, pool)
+        await until(lambda: all(place.node.ready for place in fleet.places))
+        if check_in:
+            for place in fleet.places:
+                await until_checked_in(place)
+            wanted = len(pools)
+            await until(
+                lambda: all(
+                    len(place.node.fleet.members) == wanted for place in fleet.places
+                )
+            )
+            await until(lambda: all(_linked(place) for place in fleet.places))
+        yield fleet
+    finally:
+        for place in fleet.places:
+            place.target.stop()
+            await kill_node(place.node)
+        fleet.store.stop()
+
+
+def _linked(place):
+    links = place.node.fleet._links.values()
+    return all(link.is_up for link in links)
+
+
+async def until_checked_in(place):
+    await until(lambda: place.node.watch._recovered)
+    assert await place.target.check_in() == 200
+    await until(lambda: place.node.gate.accepting)
+
+
+def is_lost(result):
+    return isinstance(result, Lost)
+
+
+def status_of(result):
+    return result.status if isinstance(result, Response) else 0
--- /dev/null
+++ b/tests/test_mesh.py
@@ -0,0 +1,301 @@
+"""The whole path over real sockets: callers, nodes, store and targets."""
+
+import asyncio
+
+import pytest
+
+from bench.mesh_standin import TargetMode, answer_body
+from dogwooddock.http1.client import ConnectionPool
+from dogwooddock.http1.messages import render_request
+from dogwooddock.mesh.fleet import node_id_of
+
+from .mesh_helpers import (
+    ask,
+    config_document,
+    route_entry,
+    running_fleet,
+    status_of,
+    until,
+)
+
+
+def run(scenario):
+    asyncio.run(asyncio.wait_for(scenario, 30))
+
+
+@pytest.mark.parametrize(
+    ("path", "method", "body", "status"),
+    [
+        ("/read/1", "GET", b"", 200),
+        ("/read/1?page=2", "GET", b"", 200),
+        ("/order/1", "POST", b"x" * 5000, 200),
+        ("/nowhere/1", "GET", b"", 404),
+    ],
+)
+@pytest.mark.parametrize("entry", [0, 1])
+def test_answers_are_whole_and_own(entry, path, method, body, status):
+    async def scenario():
+        async with running_fleet("shop", "stock") as fleet:
+            answer = await fleet.places[entry].ask(path, method=method, body=body)
+            assert answer.status == status
+            if status != 200:
+                return
+            assert answer.body == answer_body("req-1")
+            assert answer.fields[b"dogwooddock-server-stamp"] == b"t-0"
+            (seen,) = fleet.runs
+            assert (seen.path, seen.body) == (path, body)
+            assert seen.caller == ("shop", "stock")[entry]
+            assert 1000 < seen.deadline_ms <= 1500
+
+    run(scenario())
+
+
+GARBLES = [
+    ("cut", {502}),
+    ("extra", {200}),
+    ("late", {200}),
+    ("junk", {502}),
+    ("foreign", {200}),
+    ("unframed", {200}),
+    ("unframed-reset", {502}),
+    ("unstamped", {502}),
+]
+
+
+@pytest.mark.parametrize(("garble", "statuses"), GARBLES)
+def test_spoiled_answers_are_never_mixed(garble, statuses):
+    async def scenario():
+        async with running_fleet("shop", "stock") as fleet:
+            fleet.places[0].target.mode = TargetMode(garble=garble)
+            for number in range(4):
+                request_id = f"req-{number}"
+                answer = await fleet.places[1].ask(
+                    "/order/1", request_id, method="POST", body=b"b"
+                )
+                assert answer.status in statuses
+                if answer.status == 200:
+                    assert answer.body == answer_body(request_id)
+                    assert answer.fields[b"dogwooddock-request-id"] == (
+                        request_id.encode()
+                    )
+                await asyncio.sleep(0.03)
+            assert len(fleet.runs) == 4
+
+    run(scenario())
+
+
+def test_pipelined_requests_are_answered_in_order():
+    async def scenario():
+        async with running_fleet("shop", "stock") as fleet:
+            fleet.places[0].target.mode = TargetMode(work_s=0.02)
+            reader, writer = await asyncio.open_connection(
+                *fleet.places[1].env.caller_listen
+            )
+            for number in range(6):
+                block = (
+                    f"Host: app.example\r\nDogwooddock-Request-Id: p-{number}\r\n"
+                ).encode()
+                writer.write(render_request(b"GET", b"/read/1", block, b""))
+            for number in range(6):
+                head = await reader.readuntil(b"\r\n\r\n")
+                assert head.startswith(b"HTTP/1.1 200")
+                body = await reader.readexactly(64)
+                assert body == answer_body(f"p-{number}")
+            writer.close()
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (b"GET /read/1 HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", b"400"),
+        (
+            b"POST /read/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"400",
+        ),
+        (
+            b"POST /read/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+            b"Content-Length: 4\r\n\r\nabc",
+            b"400",
+        ),
+        (b"GET /read/1 HTTP/1.1\nHost: a\n\n", b"400"),
+        (b"nonsense\r\n\r\n", b"400"),
+        (b"GET /read/1 HTTP/1.1\r\nX: " + b"y" * 70000 + b"\r\n\r\n", b"431"),
+    ],
+)
+def test_malformed_requests_are_refused_and_never_forwarded(sent, status):
+    async def scenario():
+        async with running_fleet("shop") as fleet:
+            reader, writer = await asyncio.open_connection(
+                *fleet.places[0].env.caller_listen
+            )
+            writer.write(sent)
+            head = await reader.read(2000)
+            assert head.split(b" ")[1] == status
+            writer.close()
+            assert not fleet.runs
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("path", "method", "cut_off"), [("/read/1", "GET", 1), ("/order/1", "POST", 0)]
+)
+def test_leaving_caller_stops_only_what_may_be_repeated(path, method, cut_off):
+    async def scenario():
+        async with running_fleet("shop", "stock") as fleet:
+            target = fleet.places[0].target
+            target.mode = TargetMode(work_s=0.4)
+            conn = await ConnectionPool(fleet.places[1].env.caller_listen).open()
+            block = b"Host: app.example\r\nDogwooddock-Request-Id: gone-1\r\n"
+            data = render_request(method.encode(), path.encode(), block, b"")
+            conn.send(data, lambda result: None)
+            await until(lambda: len(target.runs) == 1)
+            conn.abandon()
+            await asyncio.sleep(0.5)
+            assert target.cut_off == cut_off
+            assert not fleet.places[0].node.gate.busy
+
+    run(scenario())
+
+
+def test_route_timeout_is_kept_and_not_called_a_refusal():
+    async def scenario():
+        routes = [
+            route_entry(
+                "order", "shop", "/order/", kind="non_idempotent", timeout="300ms"
+            )
+        ]
+        async with running_fleet("shop", "stock", routes=routes) as fleet:
+            fleet.places[0].target.mode = TargetMode(work_s=2.0)
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            answer = await fleet.places[1].ask("/order/1", method="POST")
+            assert answer.status == 504
+            assert loop.time() - started < 1.5
+            assert fleet.runs[0].deadline_ms <= 300
+
+    run(scenario())
+
+
+def test_full_target_is_never_sent_more_than_its_slots():
+    async def scenario():
+        async with running_fleet("shop", "stock") as fleet:
+            target = fleet.places[0].target
+            target.mode = TargetMode(work_s=0.1, hang_when_full=True)
+            answers = await asyncio.gather(
+                *(fleet.places[1].ask("/read/1", f"r-{number}") for number in range(40))
+            )
+            statuses = {answer.status for answer in answers}
+            assert statuses <= {200, 503}
+            refused = [answer for answer in answers if answer.status == 503]
+            assert all(float(item.fields[b"retry-after"]) > 0 for item in refused)
+            assert len(target.runs) == len(answers) - len(refused)
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("mode", "path", "method", "status", "runs"),
+    [
+        (TargetMode(shed=True), "/read/1", "GET", 200, 1),
+        (TargetMode(shed=True), "/order/1", "POST", 200, 1),
+        (TargetMode(status=500), "/read/1", "GET", 200, 2),
+        (TargetMode(status=500), "/order/1", "POST", 500, 1),
+        (TargetMode(garble="cut"), "/read/1", "GET", 200, 2),
+        (TargetMode(garble="cut"), "/order/1", "POST", 502, 1),
+        (TargetMode(status=503), "/order/1", "POST", 502, 1),
+    ],
+)
+def test_failing_target_is_followed_by_another_only_where_that_is_safe(
+    mode, path, method, status, runs
+):
+    async def scenario():
+        async with running_fleet("shop", "shop") as fleet:
+            first, second = fleet.places
+            first.target.mode = mode
+            busy = first.node.fleet.selector.find("shop", _id_of(second))
+            busy.outstanding = 1000
+            answer = await first.ask(path, method=method)
+            assert answer.status == status
+            assert first.target.arrivals >= 1
+            assert len(fleet.runs) == runs
+
+    run(scenario())
+
+
+def _id_of(place):
+    return node_id_of(place.env.peer_listen)
+
+
+def test_calls_of_a_run_are_linked_to_it_and_blamed():
+    async def scenario():
+        async with running_fleet("shop", "stock") as fleet:
+            shop, stock = fleet.places
+            shop.target.mode = TargetMode(calls=(("app.example", "/stock/1"),))
+            stock.target.mode = TargetMode(status=500)
+            answer = await stock.ask("/read/1", "root")
+            assert answer.status == 500
+            # The failure is not shop's: no second run of the same work.
+            assert len(shop.target.runs) == 1
+            assert shop.target.runs[0].caller == "stock"
+            assert {item.caller for item in stock.target.runs} == {"shop"}
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("how", ["store", "peer"])
+def test_configuration_reaches_a_node_and_never_goes_back(how):
+    async def scenario():
+        async with running_fleet("shop", "stock") as fleet:
+            store = fleet.store
+            nodes = [place.node for place in fleet.places]
+            newer = config_document(5, [route_entry("read", "stock", "/read/")])
+            if how == "store":
+                await store.put("op", "config", newer)
+            else:
+                store.faults.refuse = 503
+                nodes[0].config.offer(newer, "test")
+            await until(lambda: all(node.config.version == 5 for node in nodes))
+            older = config_document(4, [route_entry("read", "shop", "/read/")])
+            assert not nodes[1].config.offer(older, "test")
+            assert not nodes[1].config.offer(b'{"version": "r9"}', "test")
+            answer = await fleet.places[0].ask("/read/1")
+            assert answer.fields[b"dogwooddock-server-stamp"] == b"t-1"
+
+    run(scenario())
+
+
+def test_without_a_configuration_requests_are_refused_not_denied():
+    async def scenario():
+        async with running_fleet("shop") as fleet:
+            place = fleet.places[0]
+            place.node.config.table = None
+            answer = await place.ask("/read/1")
+            assert answer.status == 503
+            assert b"retry-after" in answer.fields
+            probe = await ask(place.env.ready_listen, "/ready", "probe")
+            assert probe.status == 503
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("lost", ["node", "target"])
+def test_unrepeatable_request_on_a_lost_process_is_unknown_not_refused(lost):
+    async def scenario():
+        async with running_fleet("shop", "stock") as fleet:
+            shop, stock = fleet.places
+            shop.target.mode = TargetMode(work_s=0.5)
+            asked = asyncio.create_task(stock.ask("/order/1", method="POST"))
+            await until(lambda: len(shop.target.runs) == 1)
+            if lost == "target":
+                shop.target.stop()
+            else:
+                shop.node.links.stop()
+            answer = await asked
+            assert status_of(answer) == 502
+            assert len(shop.target.runs) == 1
+
+    run(scenario())
