--- a/dogwooddock/mesh/fleet.py
+++ b/dogwooddock/mesh/fleet.py
@@ -65,6 +65,7 @@
     ):
         self._loop = asyncio.get_running_loop()
         self._address = address
+        self._zone = zone
         self._gate = gate
         self._state = state
         self._rng = rng
@@ -98,7 +99,10 @@
     def _link(self, address: Address) -> OutboundLink:
         link = self._links.get(address)
         if link is None:
-            link = self._links[address] = OutboundLink(address, self._state)
+            record = self.members.find(address)
+            remote = record is not None and record.zone != self._zone
+            link = OutboundLink(address, self._state, compressed=remote)
+            self._links[address] = link
         return link
 
     def choose(self, pool: str, excluded: set[int]) -> Candidate | None:
--- a/dogwooddock/peers/links.py
+++ b/dogwooddock/peers/links.py
@@ -24,6 +24,7 @@
     Probe,
     encode_frame,
 )
+from .linkstream import DeflateStream, LinkStream, PlainStream, stream_for
 
 CONNECT_TIMEOUT_S = 0.7
 REDIAL_FIRST_S = 0.05
@@ -57,17 +58,25 @@
 
 
 class Link(asyncio.Protocol):
-    """Frames over one connection."""
+    """Frames over one connection.
+
+    Args:
+        on_frame: Called with each frame.
+        on_lost: Called when the connection has ended.
+        stream: How bytes are packed; None takes what the other side names.
+    """
 
     def __init__(
         self,
         on_frame: Callable[["Link", Frame], None],
         on_lost: Callable[["Link"], None],
+        stream: LinkStream | None = None,
     ):
         self._loop = asyncio.get_running_loop()
         self._on_frame = on_frame
         self._on_lost = on_lost
         self._reader = FrameReader()
+        self._stream = stream
         self._outgoing: list[bytes] = []
         self._transport: asyncio.Transport
         self.is_up = False
@@ -78,6 +87,8 @@
         tune_socket(self._transport)
         self.heard_at = self._loop.time()
         self.is_up = True
+        if self._stream is not None:
+            self._transport.write(self._stream.preface)
 
     @property
     def congested(self) -> bool:
@@ -94,13 +105,16 @@
 
     def _flush(self) -> None:
         outgoing, self._outgoing = self._outgoing, []
-        if self.is_up:
-            self._transport.write(b"".join(outgoing))
+        if self.is_up and self._stream is not None:
+            self._transport.write(self._stream.pack(b"".join(outgoing)))
 
     def data_received(self, data: bytes) -> None:
         self.heard_at = self._loop.time()
         try:
-            frames = self._reader.feed(data, self.heard_at)
+            if self._stream is None:
+                self._stream = stream_for(data[:1])
+                data = data[1:]
+            frames = self._reader.feed(self._stream.unpack(data), self.heard_at)
         except PeerError as exc:
             log.warning("link_malformed", error=str(exc))
             self.close()
@@ -129,10 +143,14 @@
     Args:
         address: Peer address of the node.
         state: This node's state.
+        compressed: Whether bytes are worth more than the time to compress them.
     """
 
-    def __init__(self, address: tuple[str, int], state: PeerState):
+    def __init__(
+        self, address: tuple[str, int], state: PeerState, compressed: bool = False
+    ):
         self.address = address
+        self._stream_type = DeflateStream if compressed else PlainStream
         self._state = state
         self._loop = asyncio.get_running_loop()
         self._link: Link | None = None
@@ -169,7 +187,8 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, link = await self._loop.create_connection(
-                    lambda: Link(self._on_frame, self._on_lost), *self.address
+                    lambda: Link(self._on_frame, self._on_lost, self._stream_type()),
+                    *self.address,
                 )
         except OSError as exc:
             self._redial_at = self._loop.time() + self._redial_s
--- a/dogwooddock/policy/selection.py
+++ b/dogwooddock/policy/selection.py
@@ -6,8 +6,18 @@
 from dataclasses import dataclass, field
 from random import Random
 
-REMOTE_PENALTY = 1.2
-LATENCY_SMOOTHING = 0.2
+REMOTE_COST_SHARE = 0.3
+REMOTE_COST_S = 0.005
+LATENCY_SMOOTHING = 0.1
+LATENCY_HALF_LIFE_S = 2.0
+LEAST_LATENCY_S = 0.005
+CROWDED_SHARE = 0.8
+CROWDED_GAIN = 4.0
+COST_JITTER = 0.1
+FAILURE_SMOOTHING = 0.1
+FAILURE_COST_S = 1.0
+FAILURE_HALF_LIFE_S = 2.0
+SAMPLED_PER_GROUP = 3
 FAILURES_TO_EJECT = 3
 EJECT_BASE_S = 1.0
 EJECT_MAX_S = 20.0
@@ -34,13 +44,18 @@
     latency_s: float = 0.0
     draining: bool = False
     failures: int = 0
+    failure_rate: float = 0.0
+    failure_rate_at: float = 0.0
     ejections: int = 0
     ejected_until: float = 0.0
 
 
 @dataclass
 class Selector:
-    """Choose between two random targets by load, zone and health.
+    """Choose the target that is expected to answer first, among a few random ones.
+
+    The own availability zone goes first until that costs time. Load that it answers:
+    calls of one node to pools whose targets differ in speed, load and health.
 
     Args:
         zone: Availability zone of this node.
@@ -72,12 +87,13 @@
         eligible = self._eligible(pool, now, excluded)
         if not eligible:
             return None
-        if len(eligible) == 1:
-            return eligible[0]
-        first, second = rng.sample(eligible, 2)
-        if self._cost(first, now) <= self._cost(second, now):
-            return first
-        return second
+        local = [item for item in eligible if item.zone == self.zone]
+        remote = [item for item in eligible if item.zone != self.zone]
+        sampled = _sample(local, rng) + _sample(remote, rng)
+        return min(
+            sampled,
+            key=lambda item: self._cost(item, now) * (1.0 + COST_JITTER * rng.random()),
+        )
 
     def _eligible(self, pool: str, now: float, excluded: set[int]) -> list[Candidate]:
         present = [
@@ -91,14 +107,22 @@
         return present
 
     def _cost(self, candidate: Candidate, now: float) -> float:
+        """Return the expected time to an answer, in seconds, with what else weighs."""
         reported = candidate.reported_load
         if now - candidate.reported_at > LOAD_STALE_S:
             reported = 0
         load = max(candidate.outstanding, reported) + 1
-        cost = load / max(1, candidate.limit)
-        cost *= 1.0 + candidate.latency_s
+        used = load / max(1, candidate.limit)
+        idle_s = max(0.0, now - candidate.reported_at)
+        latency_s = candidate.latency_s * 0.5 ** (idle_s / LATENCY_HALF_LIFE_S)
+        cost = max(LEAST_LATENCY_S, latency_s)
         if candidate.zone != self.zone:
-            cost *= REMOTE_PENALTY
+            cost += cost * REMOTE_COST_SHARE + REMOTE_COST_S
+        if used > CROWDED_SHARE:
+            cost *= 1.0 + (used - CROWDED_SHARE) * CROWDED_GAIN
+        since_s = now - candidate.failure_rate_at
+        fading = 0.5 ** (since_s / FAILURE_HALF_LIFE_S)
+        cost += candidate.failure_rate * fading * FAILURE_COST_S
         since_ejection = now - candidate.ejected_until
         if candidate.ejections and since_ejection < RECOVERY_S:
             cost *= 1.0 + 3.0 * (1.0 - since_ejection / RECOVERY_S)
@@ -124,6 +148,7 @@
         candidate.reported_load = load
         candidate.reported_at = now
         candidate.draining = draining
+        self._note_failure_rate(candidate, now, failed)
         if failed:
             self._count_failure(candidate, now)
             return
@@ -136,8 +161,18 @@
     def lost(self, candidate: Candidate, now: float) -> None:
         """Account for a call that got no reply."""
         candidate.outstanding -= 1
+        self._note_failure_rate(candidate, now, True)
         self._count_failure(candidate, now)
 
+    def _note_failure_rate(
+        self, candidate: Candidate, now: float, failed: bool
+    ) -> None:
+        since_s = now - candidate.failure_rate_at
+        faded = candidate.failure_rate * 0.5 ** (since_s / FAILURE_HALF_LIFE_S)
+        change = (1.0 if failed else 0.0) - faded
+        candidate.failure_rate = faded + change * FAILURE_SMOOTHING
+        candidate.failure_rate_at = now
+
     def _count_failure(self, candidate: Candidate, now: float) -> None:
         candidate.failures += 1
         if candidate.failures < FAILURES_TO_EJECT:
@@ -146,3 +181,9 @@
         duration = EJECT_BASE_S * 2.0**candidate.ejections
         candidate.ejected_until = now + min(EJECT_MAX_S, duration)
         candidate.ejections += 1
+
+
+def _sample(group: list[Candidate], rng: Random) -> list[Candidate]:
+    if len(group) <= SAMPLED_PER_GROUP:
+        return group
+    return rng.sample(group, SAMPLED_PER_GROUP)
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -8,6 +8,7 @@
 from dogwooddock.http1.client import ConnectionPool
 from dogwooddock.http1.messages import render_request
 from dogwooddock.mesh.fleet import node_id_of
+from dogwooddock.peers.linkstream import DeflateStream, PlainStream, stream_for
 
 from .mesh_helpers import (
     ask,
@@ -299,3 +300,11 @@
             assert len(shop.target.runs) == 1
 
     run(scenario())
+
+
+@pytest.mark.parametrize("stream_type", [PlainStream, DeflateStream])
+def test_streams_hand_over_what_was_packed_at_once(stream_type):
+    sender, receiver = stream_type(), stream_for(stream_type.preface)
+    for number in range(50):
+        data = b"frame %d " % number * number
+        assert receiver.unpack(sender.pack(data)) == data
