Take a target up again from the stored record after a restart; back off from dark ones

Cause: a restarted node left its running target idle until the next heartbeat (up to 1.5 s), and each waiting call tried a target that does not answer. Change: the stored record, if ready, is checked with a health check at once; an unreachable target refuses what waits and is tried after 0.1 s, doubling.

--- a/dogwooddock/mesh/gate.py
+++ b/dogwooddock/mesh/gate.py
@@ -29,7 +29,8 @@
 LEAST_TIME_S = 0.004
 REUSE_IDLE_S = 4.0
 REUSE_IDLE_UNREPEATABLE_S = 1.0
-DOWN_RETRY_S = 0.15
+DOWN_RETRY_FIRST_S = 0.1
+DOWN_RETRY_MAX_S = 1.0
 LEAST_RUN_SHARE = 0.5
 INITIAL_SLOTS = 1
 PROMISING_STATUSES = frozenset({408, 421, 429, 503})
@@ -115,6 +116,7 @@
         self._running: dict[bytes, GateCall] = {}
         self._sweeping = False
         self._down_until = 0.0
+        self._down_s = DOWN_RETRY_FIRST_S
         self._suspects: list[str] = []
         self.stopping = False
         self.counts = GateCounts()
@@ -153,10 +155,13 @@
     def refuse_all(self) -> None:
         """Take no more work; what waits is refused, what runs goes on."""
         self._target = None
+        self._refuse_waiting(Reason.DRAINING)
+
+    def _refuse_waiting(self, reason: Reason) -> None:
         for waiting in self.admission.drop_all():
             gate_call = self._waiting.pop(waiting, None)
             if gate_call is not None:
-                self._refuse(gate_call, Reason.DRAINING)
+                self._refuse(gate_call, reason)
 
     def load(self) -> GateLoad:
         """Return the present load."""
@@ -281,6 +286,7 @@
             self._release(gate_call)
             self._refuse(gate_call, Reason.TARGET_UNREACHABLE)
             return
+        self._down_s = DOWN_RETRY_FIRST_S
         if gate_call.finished or self._stale(gate_call):
             pool.give_back(conn)
             self._release(gate_call)
@@ -297,10 +303,12 @@
         now = self._loop.time()
         if now >= self._down_until:
             log.warning("target_unreachable", error=repr(exc))
-        self._down_until = now + DOWN_RETRY_S
+            self._down_until = now + self._down_s
+            self._down_s = min(DOWN_RETRY_MAX_S, self._down_s * 2)
         if isinstance(exc, ConnectionRefusedError) and self._suspects:
             suspects, self._suspects = self._suspects, []
             self._on_target_lost(suspects)
+        self._refuse_waiting(Reason.TARGET_UNREACHABLE)
 
     def _send(
         self, gate_call: GateCall, pool: ConnectionPool, conn: ClientConnection
--- a/dogwooddock/mesh/heartbeats.py
+++ b/dogwooddock/mesh/heartbeats.py
@@ -19,8 +19,8 @@
 
 RECOVER_TIMEOUT_S = 1.5
 PROBE_TIMEOUT_S = 0.8
+CHECK_AGAIN_S = 1.0
 DRAIN_WRITE_S = 2.0
-MISSED_HEARTBEATS = 4
 
 log = structlog.get_logger()
 
@@ -72,9 +72,16 @@
         except (PlatformError, TimeoutError) as exc:
             log.warning("own_record_unread", error=str(exc))
             record = None
-        if record is not None and record.state is not TargetState.READY:
-            self._tracker.recover(_heartbeat_of(record))
+        if record is not None:
+            self._tracker.recover(_heartbeat_of(record, self._env.target))
         self._recovered = True
+        self.reconsider()
+
+    def reconsider(self) -> None:
+        """Take up a target that is known and was not checked yet."""
+        current = self._tracker.current
+        if self._recovered and current is not None:
+            self._apply(current)
 
     # Messages.
 
@@ -153,10 +160,16 @@
             log.info(
                 "target_not_taken", target=beat.target_id, answered=healthy_id or "none"
             )
+            self._loop.call_later(CHECK_AGAIN_S, self._check_again, beat.lifetime)
             return
         self._checked = beat.lifetime
         self._apply(current)
 
+    def _check_again(self, lifetime: tuple[int, str]) -> None:
+        current = self._tracker.current
+        if current is not None and current.lifetime == lifetime:
+            self._apply(current)
+
     async def _probe(self, beat: Heartbeat) -> str:
         pool = ConnectionPool(beat.address)
         host = f"{beat.address[0]}:{beat.address[1]}"
@@ -204,11 +217,11 @@
     )
 
 
-def _heartbeat_of(record: NodeRecord) -> Heartbeat:
+def _heartbeat_of(record: NodeRecord, address: tuple[str, int]) -> Heartbeat:
     return Heartbeat(
         target_id=record.target_id,
         pool=record.pool,
-        address=("", 0),
+        address=address,
         slots=record.slots,
         state=record.state,
         cold_s=0.0,
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -251,6 +251,7 @@
         self.callers.limits = state.limits
         pools = {pool for route in state.routes for pool, _ in route.pools}
         self.fleet.warm(sorted(pools))
+        self.watch.reconsider()
         self.links.broadcast(self.probe(reply=True))
 
     def _on_config_rows(self, rows: tuple[Row, ...], version: int) -> None:
