Carry the admission level of deep gates up the chain to the ingress

Change: a chain keeps one rank on every hop; gates derive their level from it, also from late starts, and replies carry the highest level met below.

--- a/dogwooddock/mesh/calls.py
+++ b/dogwooddock/mesh/calls.py
@@ -1,7 +1,6 @@
 """Messages between the ingress of a call and the gate beside its target."""
 
 __all__ = [
-    "CallState",
     "GateLoad",
     "MeshCall",
     "MeshReply",
@@ -34,6 +33,8 @@
         depth: 0 for a caller's request, 1 for a call of a target.
         caller: Pool of the VM where the request began.
         fingerprint: Identity of the request across resends.
+        rank: Rank of the chain's first request, in hundredths of a class of
+            importance; the same on every hop.
     """
 
     request_id: bytes
@@ -50,6 +51,7 @@
     depth: int
     caller: str
     fingerprint: str
+    rank: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +87,7 @@
         body: Whole body, if it was answered.
         reached: Whether a target received any of it.
         load: Load of the gate.
+        below_level: Highest admission level that the run's own calls met.
     """
 
     outcome: Outcome
@@ -94,15 +97,7 @@
     body: bytes = b""
     reached: bool = False
     load: GateLoad = field(default_factory=GateLoad)
-
-
-class CallState:
-    """Where an attempt stands, so that it can be cancelled."""
-
-    __slots__ = ("cancelled",)
-
-    def __init__(self) -> None:
-        self.cancelled = False
+    below_level: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/dogwooddock/mesh/gate.py
+++ b/dogwooddock/mesh/gate.py
@@ -18,6 +18,7 @@
 from ..http1.client import ClientConnection, ConnectionPool, Lost
 from ..http1.messages import Response, render_request
 from ..policy.admission import Admission, QueuedCall, Verdict
+from ..policy.levels import LEVEL_SCALE
 from ..policy.limits import StaticLimit
 from ..policy.outcomes import Outcome, Reason
 from ..policy.quarantine import Quarantine, Standing
@@ -32,6 +33,7 @@
 DOWN_RETRY_FIRST_S = 0.1
 DOWN_RETRY_MAX_S = 1.0
 LEAST_RUN_SHARE = 0.5
+LATE_START_SHARE = 0.15
 INITIAL_SLOTS = 1
 PROMISING_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -58,6 +60,8 @@
     timer: asyncio.TimerHandle | None = None
     resent: bool = False
     failed_below: bool = False
+    below_level: int = 0
+    arrived_at: float = 0.0
 
     @property
     def finished(self) -> bool:
@@ -197,9 +201,10 @@
             call.deadline,
             call.route,
             call.caller,
+            level_class=call.rank // LEVEL_SCALE,
         )
-        gate_call = GateCall(call, done, queued)
         now = self._loop.time()
+        gate_call = GateCall(call, done, queued, arrived_at=now)
         reason = self._unfit(call, now)
         if reason is not Reason.NONE:
             self._refuse(gate_call, reason)
@@ -239,6 +244,7 @@
             gate_call.timer.cancel()
         self.counts.outcomes[(reply.outcome.value, reply.reason.value)] += 1
         reply.load = self.load()
+        reply.below_level = gate_call.below_level
         gate_call.done(reply)
 
     # Queue.
@@ -262,8 +268,13 @@
             self._schedule_sweep()
 
     def _dispatch_next(self) -> None:
+        now = self._loop.time()
         for queued in self.admission.next_calls():
-            self._dispatch(self._waiting.pop(queued))
+            gate_call = self._waiting.pop(queued)
+            allowed_s = gate_call.call.objective_at - gate_call.arrived_at
+            if now - gate_call.arrived_at > allowed_s * LATE_START_SHARE:
+                self.admission.note_late_start(now, queued)
+            self._dispatch(gate_call)
 
     # Target side.
 
--- a/dogwooddock/mesh/ingress.py
+++ b/dogwooddock/mesh/ingress.py
@@ -21,6 +21,7 @@
 from ..policy.quarantine import Quarantine, Standing, fingerprint
 from ..policy.resends import Resend, resend_for
 from ..policy.retries import RetryBudget
+from ..policy.selection import Candidate
 from .calls import MeshCall, MeshReply
 from .config import ConfigHolder
 from .environment import NodeEnvironment
@@ -164,6 +165,7 @@
             depth,
             self._env.pool,
             fingerprint(self._env.pool, "", request.body, path),
+            _rank(route, fields.request_id, parent),
         )
         pending = _Pending(exchange, call, route, pool, now, parent)
         self.in_flight += 1
@@ -188,8 +190,7 @@
         if candidate is None:
             self._wait_for_link(pending, now)
             return
-        rank = request_rank(call.importance, call.request_id.decode("latin-1"))
-        if rank < self._fleet.levels.level(str(candidate.node_id), now):
+        if pending.parent is None and call.rank < self._level(pending, candidate):
             self._give_up(pending, Reason.OVERLOAD)
             return
         call.target_id = self._fleet.target_id(candidate)
@@ -201,6 +202,23 @@
         if not pending.done and pending.sending is None:
             pending.sending = sending
 
+    def _level(self, pending: _Pending, candidate: Candidate) -> int:
+        """Return the rank below which a request would be refused on its way."""
+        now = self._loop.time()
+        levels = self._fleet.levels
+        return max(
+            levels.level(str(candidate.node_id), now),
+            levels.level(pending.route.name, now),
+        )
+
+    def _learn_level(self, pending: _Pending, reply: MeshReply) -> None:
+        """Remember the level below a route, and pass it on to the run above."""
+        level = reply.below_level
+        self._fleet.levels.follow(pending.route.name, level, self._loop.time())
+        parent = pending.parent
+        if parent is not None:
+            parent.below_level = max(parent.below_level, level, reply.load.level)
+
     def _wait_for_link(self, pending: _Pending, now: float) -> None:
         limit_s = pending.route.objective_s * LINK_WAIT_SHARE
         waited_s = now - pending.arrived_at
@@ -214,6 +232,7 @@
             return
         pending.sending = None
         pending.last = reply
+        self._learn_level(pending, reply)
         if reply.reached:
             pending.reached += 1
         if reply.outcome is Outcome.UNKNOWN:
@@ -346,6 +365,14 @@
         )
 
 
+def _rank(route: MeshRoute, request_id: bytes, parent: GateCall | None) -> int:
+    """Return the rank of a chain, which every hop of it keeps."""
+    if parent is not None:
+        return parent.call.rank
+    importance, _ = _standing(route, None)
+    return request_rank(importance, request_id.decode("latin-1"))
+
+
 def _standing(route: MeshRoute, parent: GateCall | None) -> tuple[int, int]:
     """Return importance and depth of a request.
 
--- a/dogwooddock/peers/linkcodec.py
+++ b/dogwooddock/peers/linkcodec.py
@@ -171,6 +171,7 @@
         call.caller,
         call.fingerprint,
         frame.config_version,
+        call.rank,
     )
 
 
@@ -190,6 +191,7 @@
         wire.depth,
         wire.caller,
         wire.fingerprint,
+        wire.rank,
     )
     return NumberedCall(wire.call_id, call, wire.config_version)
 
@@ -214,6 +216,7 @@
             load.accepting,
         ),
         frame.config_version,
+        reply.below_level,
     )
 
 
@@ -234,6 +237,7 @@
             load.wait_ms / 1000,
             load.accepting,
         ),
+        wire.below_level,
     )
     return NumberedReply(wire.call_id, reply, wire.config_version)
 
--- a/dogwooddock/peers/peer.thrift
+++ b/dogwooddock/peers/peer.thrift
@@ -154,6 +154,7 @@
   14: string caller
   15: string fingerprint
   16: i64 config_version
+  17: i32 rank
 }
 
 struct LinkLoad {
@@ -175,6 +176,7 @@
   7: bool reached
   8: LinkLoad load
   9: i64 config_version
+  10: i32 below_level
 }
 
 struct LinkCancel {
--- a/dogwooddock/peers/wire/ttypes.py
+++ b/dogwooddock/peers/wire/ttypes.py
@@ -1713,6 +1713,7 @@
      - caller
      - fingerprint
      - config_version
+     - rank
 
     """
 
@@ -1733,10 +1734,11 @@
         'caller',
         'fingerprint',
         'config_version',
+        'rank',
     )
 
 
-    def __init__(self, call_id=None, request_id=None, route=None, target_id=None, method=None, path=None, headers=None, body=None, remaining_ms=None, objective_ms=None, idempotent=None, importance=None, depth=None, caller=None, fingerprint=None, config_version=None,):
+    def __init__(self, call_id=None, request_id=None, route=None, target_id=None, method=None, path=None, headers=None, body=None, remaining_ms=None, objective_ms=None, idempotent=None, importance=None, depth=None, caller=None, fingerprint=None, config_version=None, rank=None,):
         self.call_id = call_id
         self.request_id = request_id
         self.route = route
@@ -1753,6 +1755,7 @@
         self.caller = caller
         self.fingerprint = fingerprint
         self.config_version = config_version
+        self.rank = rank
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1843,6 +1846,11 @@
                     self.config_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1917,6 +1925,10 @@
             oprot.writeFieldBegin('config_version', TType.I64, 16)
             oprot.writeI64(self.config_version)
             oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 17)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2082,6 +2094,7 @@
      - reached
      - load
      - config_version
+     - below_level
 
     """
 
@@ -2095,10 +2108,11 @@
         'reached',
         'load',
         'config_version',
+        'below_level',
     )
 
 
-    def __init__(self, call_id=None, outcome=None, reason=None, status=None, headers=None, body=None, reached=None, load=None, config_version=None,):
+    def __init__(self, call_id=None, outcome=None, reason=None, status=None, headers=None, body=None, reached=None, load=None, config_version=None, below_level=None,):
         self.call_id = call_id
         self.outcome = outcome
         self.reason = reason
@@ -2108,6 +2122,7 @@
         self.reached = reached
         self.load = load
         self.config_version = config_version
+        self.below_level = below_level
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2164,6 +2179,11 @@
                     self.config_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.below_level = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2210,6 +2230,10 @@
             oprot.writeFieldBegin('config_version', TType.I64, 9)
             oprot.writeI64(self.config_version)
             oprot.writeFieldEnd()
+        if self.below_level is not None:
+            oprot.writeFieldBegin('below_level', TType.I32, 10)
+            oprot.writeI32(self.below_level)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2835,6 +2859,7 @@
     (14, TType.STRING, 'caller', 'UTF8', None, ),  # 14
     (15, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 15
     (16, TType.I64, 'config_version', None, None, ),  # 16
+    (17, TType.I32, 'rank', None, None, ),  # 17
 )
 all_structs.append(LinkLoad)
 LinkLoad.thrift_spec = (
@@ -2858,6 +2883,7 @@
     (7, TType.BOOL, 'reached', None, None, ),  # 7
     (8, TType.STRUCT, 'load', [LinkLoad, None], None, ),  # 8
     (9, TType.I64, 'config_version', None, None, ),  # 9
+    (10, TType.I32, 'below_level', None, None, ),  # 10
 )
 all_structs.append(LinkCancel)
 LinkCancel.thrift_spec = (
--- a/dogwooddock/policy/admission.py
+++ b/dogwooddock/policy/admission.py
@@ -40,6 +40,8 @@
         kind: Kind of the request.
         caller: Caller, for fairness within one importance.
         ready: Whether the call may be dispatched as soon as a slot is free.
+        level_class: Class of importance that the admission level speaks of; by
+            default the call's own.
     """
 
     attempt_id: str
@@ -49,6 +51,7 @@
     kind: str
     caller: str
     ready: bool = True
+    level_class: int = -1
     order: tuple[int, int, float, float] = (0, 0, 0.0, 0.0)
 
 
@@ -123,7 +126,7 @@
         """Decide about an arriving call."""
         if self.draining:
             return Decision(Verdict.REFUSE, Reason.DRAINING)
-        self.levels.arrived(now, call.importance)
+        self.levels.arrived(now, _level_class(call))
         service = self.expected_s(now, call.kind)
         if now + service * 0.5 >= call.deadline:
             return Decision(Verdict.REFUSE, Reason.DEADLINE)
@@ -133,7 +136,7 @@
         self._tag(call)
         position = bisect.bisect_left(self._queue, call.order, key=_order)
         if now + self._wait_s(position) + service > call.deadline:
-            self.levels.refused(now, call.importance)
+            self.levels.refused(now, _level_class(call))
             return Decision(Verdict.REFUSE, Reason.DEADLINE)
         return self._enqueue(now, call, position)
 
@@ -143,10 +146,10 @@
             MAX_IMPORTANCE
         ):
             if position == self.queued:
-                self.levels.refused(now, call.importance)
+                self.levels.refused(now, _level_class(call))
                 return Decision(Verdict.REFUSE, Reason.OVERLOAD)
             displaced = self._queue.pop()
-            self.levels.refused(now, displaced.importance)
+            self.levels.refused(now, _level_class(displaced))
         self._queue.insert(position, call)
         return Decision(Verdict.WAIT, displaced=displaced)
 
@@ -203,7 +206,11 @@
     def give_up(self, now: float, call: QueuedCall) -> None:
         """Remove a waiting call whose time has run out."""
         if self.withdraw(call):
-            self.levels.refused(now, call.importance)
+            self.levels.refused(now, _level_class(call))
+
+    def note_late_start(self, now: float, call: QueuedCall) -> None:
+        """Count a call that waited too long as one that had no room."""
+        self.levels.refused(now, _level_class(call))
 
     def drop_all(self) -> list[QueuedCall]:
         """Remove every waiting call."""
@@ -244,5 +251,9 @@
     return call.order
 
 
+def _level_class(call: QueuedCall) -> int:
+    return call.importance if call.level_class < 0 else call.level_class
+
+
 def _smooth(previous: float, sample: float) -> float:
     return previous + (sample - previous) * SERVICE_SMOOTHING
