Refuse only what every gate has confirmed as not run

The ingress inferred not-run from the absence of a pending attempt. Ruled out: a lost reply, a silent gate (now a test), a crashed link. Change: attempts count as unconfirmed when sent, and only a gate's own not-run takes them off; a 503 needs zero. A target's own failure is kept and delivered when no other target helps. Conclusion: the refusal no longer rests on an inference.

--- a/dogwooddock/mesh/ingress.py
+++ b/dogwooddock/mesh/ingress.py
@@ -50,6 +50,8 @@
         route: Its route.
         pool: Pool that it goes to.
         arrived_at: Loop time of its arrival, in seconds.
+        unconfirmed: Attempts that no gate has said did not run.
+        failure: A target's own failure, kept while another target is tried.
         parent: The call that the local target made it for, or None.
     """
 
@@ -65,7 +67,8 @@
     reached: int = 0
     free_resends: int = 0
     room_resends: int = 0
-    maybe_ran: bool = False
+    unconfirmed: int = 0
+    failure: MeshReply | None = None
     last: MeshReply = field(
         default_factory=lambda: MeshReply(Outcome.NOT_RUN, Reason.NO_TARGET)
     )
@@ -195,11 +198,16 @@
             return
         call.target_id = self._fleet.target_id(candidate)
         pending.tried.add(candidate.node_id)
+        pending.unconfirmed += 1
+        answered: list[MeshReply] = []
+
+        def on_reply(reply: MeshReply) -> None:
+            answered.append(reply)
+            self._on_reply(pending, reply)
+
         pending.sending = None
-        sending = self._fleet.send(
-            candidate, call, lambda reply: self._on_reply(pending, reply)
-        )
-        if not pending.done and pending.sending is None:
+        sending = self._fleet.send(candidate, call, on_reply)
+        if not answered:
             pending.sending = sending
 
     def _level(self, pending: _Pending, candidate: Candidate) -> int:
@@ -235,8 +243,10 @@
         self._learn_level(pending, reply)
         if reply.reached:
             pending.reached += 1
-        if reply.outcome is Outcome.UNKNOWN:
-            pending.maybe_ran = True
+        if reply.outcome is Outcome.NOT_RUN:
+            pending.unconfirmed -= 1
+        elif reply.outcome is Outcome.ANSWERED:
+            pending.failure = reply
         if self._resend(pending, reply):
             self._loop.call_soon(self._attempt, pending)
         elif reply.outcome is Outcome.ANSWERED:
@@ -280,9 +290,15 @@
         pending.exchange.respond(reply.status, reply.headers, reply.body)
 
     def _give_up(self, pending: _Pending, reason: Reason) -> None:
-        """Answer that the request did not run, or that this is not known."""
+        """Answer that the request did not run, or that this is not known.
+
+        It did not run only if every gate that it was sent to has said so.
+        """
+        if pending.failure is not None:
+            self._deliver(pending, pending.failure)
+            return
         call = pending.call
-        if pending.maybe_ran:
+        if pending.unconfirmed:
             status = 504 if reason is Reason.DEADLINE else 502
             outcome, retry_s = Outcome.UNKNOWN, None
         else:
@@ -321,7 +337,6 @@
     def _withdraw(self, pending: _Pending) -> None:
         sending, pending.sending = pending.sending, None
         if sending is not None:
-            pending.maybe_ran = True
             self._fleet.cancel(sending)
 
     def _on_gone(self, pending: _Pending) -> None:
@@ -354,7 +369,7 @@
             depth=call.depth,
             status=status,
             reason=reason.value,
-            maybe_ran=pending.maybe_ran,
+            unconfirmed=pending.unconfirmed,
             tried=len(pending.tried),
             reached=pending.reached,
             waited_ms=round((self._loop.time() - pending.arrived_at) * 1000),
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -308,3 +308,21 @@
     for number in range(50):
         data = b"frame %d " % number * number
         assert receiver.unpack(sender.pack(data)) == data
+
+
+@pytest.mark.parametrize("entry", [0, 1])
+def test_unrepeatable_request_without_any_reply_is_unknown(entry):
+    async def scenario():
+        routes = [
+            route_entry(
+                "order", "shop", "/order/", kind="non_idempotent", timeout="300ms"
+            )
+        ]
+        async with running_fleet("shop", "stock", routes=routes) as fleet:
+            gate = fleet.places[0].node.gate
+            gate._finish = lambda gate_call, reply: None
+            answer = await fleet.places[entry].ask("/order/1", method="POST")
+            assert answer.status == 504
+            assert len(fleet.runs) == 1
+
+    run(scenario())
