--- a/dogwooddock/mesh/environment.py
+++ b/dogwooddock/mesh/environment.py
@@ -51,6 +51,7 @@
         heartbeat_s: Period of the target's heartbeats, in seconds.
         memory_mb: Memory that the process may use, in MB.
         bounds: Promises of the deployment.
+        operator_listen: Address for metrics and the state dump, or None.
     """
 
     name: str
@@ -67,3 +68,4 @@
     heartbeat_s: float
     memory_mb: float
     bounds: Bounds
+    operator_listen: Address | None = None
--- a/dogwooddock/mesh/ingress.py
+++ b/dogwooddock/mesh/ingress.py
@@ -27,6 +27,7 @@
 from .environment import NodeEnvironment
 from .fleet import Fleet, Sending
 from .gate import Gate, GateCall
+from .metrics import LatencyHistogram
 from .routing import MeshRoute
 from .wireformat import CallerFields, HeaderFormat
 
@@ -111,6 +112,7 @@
         self._rng = rng
         self.in_flight = 0
         self.resends = 0
+        self.latency = LatencyHistogram()
         self.outcomes: Counter[tuple[str, str, str]] = Counter()
 
     # Arrival.
@@ -356,6 +358,7 @@
         if pending.parent is not None and not good:
             pending.parent.failed_below = True
         self.outcomes[(pending.route.name, outcome.value, reason.value)] += 1
+        self.latency.add(pending.route.name, self._loop.time() - pending.arrived_at)
 
     def _log_failure(self, pending: _Pending, reason: Reason, status: int) -> None:
         call = pending.call
--- a/dogwooddock/mesh/metrics.py
+++ b/dogwooddock/mesh/metrics.py
@@ -1,8 +1,11 @@
-"""Counters and gauges of a node."""
+"""Counters, gauges, histograms and the state dump of a node."""
 
-__all__ = ["render_metrics"]
+__all__ = ["LatencyHistogram", "dump_state", "render_metrics"]
 
-from typing import TYPE_CHECKING
+import bisect
+from collections import defaultdict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
 
 from aioprometheus import Counter, Gauge, Registry
 from aioprometheus.renderer import render
@@ -10,6 +13,71 @@
 if TYPE_CHECKING:
     from .node import MeshNode
 
+BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
+
+
+@dataclass
+class LatencyHistogram:
+    """Count durations by bucket, for each route."""
+
+    _counts: dict[str, list[int]] = field(
+        default_factory=lambda: defaultdict(lambda: [0] * (len(BUCKETS_S) + 1))
+    )
+    _sums: dict[str, float] = field(default_factory=lambda: defaultdict(float))
+
+    def add(self, route: str, seconds: float) -> None:
+        """Count one duration."""
+        self._counts[route][bisect.bisect_left(BUCKETS_S, seconds)] += 1
+        self._sums[route] += seconds
+
+    def render(self, name: str) -> str:
+        """Return the histogram in the text format."""
+        lines = [f"# TYPE {name} histogram"]
+        for route, counts in self._counts.items():
+            total = 0
+            for bound, count in zip((*BUCKETS_S, "+Inf"), counts, strict=True):
+                total += count
+                lines.append(f'{name}_bucket{{route="{route}",le="{bound}"}} {total}')
+            lines.append(f'{name}_sum{{route="{route}"}} {self._sums[route]:.6f}')
+            lines.append(f'{name}_count{{route="{route}"}} {total}')
+        return "\n".join(lines) + "\n"
+
+
+def dump_state(node: "MeshNode") -> dict[str, Any]:
+    """Return what the node knows and believes, for operators."""
+    load = node.gate.load()
+    target = node.gate.target
+    return {
+        "node": node.env.name,
+        "zone": node.env.zone,
+        "pool": node.env.pool,
+        "ready": node.ready,
+        "config_version": node.config.version,
+        "members_version": node.fleet.members.version,
+        "target": target.target_id if target else None,
+        "gate": {
+            "accepting": load.accepting,
+            "limit": load.limit,
+            "in_flight": load.in_flight,
+            "queued": load.queued,
+            "level": load.level,
+        },
+        "in_flight": node.ingress.in_flight,
+        "members": [
+            {
+                "address": f"{record.address[0]}:{record.address[1]}",
+                "pool": record.pool,
+                "target": record.target_id,
+                "state": record.state.name,
+                "slots": record.slots,
+            }
+            for record in node.fleet.members.everyone()
+        ],
+        "quarantined": node.quarantine.listing(node.now()),
+        "levels": node.fleet.levels.snapshot(node.now()),
+        "store_settled": node.announcer.settled,
+    }
+
 
 def render_metrics(node: "MeshNode") -> bytes:
     """Return the metrics in the text format."""
@@ -39,4 +107,4 @@
         gauge = Gauge(f"dogwooddock_{name}", f"Present {name}.", registry=registry)
         gauge.set({}, value)
     body, _ = render(registry, ["text/plain"])
-    return body
+    return body + node.ingress.latency.render("dogwooddock_request_seconds").encode()
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import gc
+import json
 import signal
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 import structlog
@@ -29,7 +30,7 @@
 from .gate import Gate
 from .heartbeats import TargetWatch
 from .ingress import Ingress
-from .metrics import render_metrics
+from .metrics import dump_state, render_metrics
 from .recordrows import MEMBERS_TABLE, MalformedRecord, decode_record
 from .routing import DesiredState
 from .rows import Row, RowStore
@@ -59,6 +60,8 @@
         read_heartbeat: Reads a message of the local target: a heartbeat, or the
             identity, start and sequence of one that leaves.
         ready_path: Path of the readiness probe.
+        read_environment: Reads the settings anew.
+        settings_changed: Reports whether the settings changed since they were read.
     """
 
     store: RowStore
@@ -67,6 +70,8 @@
     config_place: tuple[str, str]
     read_heartbeat: Callable[[Request], Heartbeat | tuple[str, int, int]]
     ready_path: bytes
+    read_environment: Callable[[], NodeEnvironment]
+    settings_changed: Callable[[], bool]
 
 
 class MeshNode(PeerState):
@@ -113,6 +118,7 @@
         self.callers = HttpServer(self.ingress.handle)
         self.probes = HttpServer(self._on_probe)
         self.heartbeats = HttpServer(self._on_heartbeat)
+        self.operators = HttpServer(self._on_operator)
         self.links = LinkServer(self.gate, self)
         self._rng = rng
 
@@ -122,7 +128,7 @@
         """Serve until SIGTERM, then finish what is in flight and return."""
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self._stopping.set)
-        self._loop.add_signal_handler(signal.SIGHUP, self._on_reload)
+        self._loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
         await self._stopping.wait()
         await self.stop()
@@ -134,6 +140,8 @@
         await self.heartbeats.start(env.checkin_listen)
         await self.probes.start(env.ready_listen)
         await self.callers.start(env.caller_listen)
+        if env.operator_listen is not None:
+            await self.operators.start(env.operator_listen)
         store = self._parts.store
         table, _ = self._parts.config_place
         followers = (
@@ -166,7 +174,7 @@
                 self.callers.stop_listening()
             if listened and not (self.ingress.in_flight or self.gate.busy):
                 break
-        for server in (self.callers, self.probes, self.heartbeats):
+        for server in self.servers:
             server.stop()
         for task in self._tasks:
             task.cancel()
@@ -176,14 +184,38 @@
         self._parts.store.close()
         log.info("node_stopped", in_flight=self.ingress.in_flight)
 
-    def _on_reload(self) -> None:
-        log.info("settings_reload", node=self.env.name, outcome="unchanged")
+    @property
+    def servers(self) -> tuple[HttpServer, ...]:
+        """Return every HTTP server of the node."""
+        return self.callers, self.probes, self.heartbeats, self.operators
+
+    def reload(self) -> None:
+        """Take up changed settings; faulty ones leave the old ones in force.
+
+        Bounds and contacts may change; addresses and identity need a restart.
+        """
+        try:
+            env = self._parts.read_environment()
+        except DogwooddockError as exc:
+            log.error("settings_refused", error=str(exc))
+            return
+        if env == self.env:
+            return
+        fixed = replace(self.env, bounds=env.bounds, contacts=env.contacts)
+        log.info(
+            "settings_reloaded",
+            outcome="in force" if fixed == env else "restart for addresses",
+        )
+        self.env = fixed
+        self.fleet.dial_contacts(fixed.contacts)
 
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             self.gate.trim()
             self._share_budget()
+            if self._parts.settings_changed():
+                self.reload()
 
     def _share_budget(self) -> None:
         """Take this node's part of the fleet's retries."""
@@ -202,11 +234,19 @@
         path = exchange.request.path
         if path == self._parts.ready_path:
             exchange.respond(200 if self.ready else 503, b"", b"")
-        elif path == b"/metrics":
+        else:
+            exchange.respond(404, b"", b"")
+
+    def _on_operator(self, exchange: Exchange) -> None:
+        path = exchange.request.path
+        if path == b"/metrics":
             body = render_metrics(self)
             exchange.respond(200, b"Content-Type: text/plain\r\n", body)
+        elif path == b"/state":
+            body = json.dumps(dump_state(self), indent=1).encode()
+            exchange.respond(200, b"Content-Type: application/json\r\n", body)
         else:
-            exchange.respond(404, b"", b"")
+            exchange.respond(404, b"", b"ask for /metrics or /state\n")
 
     def _on_heartbeat(self, exchange: Exchange) -> None:
         try:
@@ -278,6 +318,10 @@
         self.links.broadcast(frame)
         self.fleet.tell_all(frame)
 
+    def now(self) -> float:
+        """Return the loop's time, in seconds."""
+        return self._loop.time()
+
     # Peers.
 
     def config_version(self) -> int:
--- a/dogwooddock/platform/__main__.py
+++ b/dogwooddock/platform/__main__.py
@@ -2,37 +2,55 @@
 
 import asyncio
 import os
-import sys
 from random import Random
+from typing import Annotated
 
 import structlog
+import typer
 
 from ..errors import InvalidSettings
 from ..logs import configure_bounded_logs
 from ..mesh.node import MeshNode
 from .names import SETTINGS_VARIABLE
 from .parts import platform_parts
-from .settings import read_settings
+from .settings import SettingsFile
 
 EXIT_SETTINGS = 2
 
-
-async def _serve() -> None:
-    env = read_settings(os.environ.get(SETTINGS_VARIABLE, ""))
-    configure_bounded_logs("info", node=env.name)
-    seed = int.from_bytes(os.urandom(8), "big")
-    await MeshNode(env, platform_parts(env), Random(seed)).run()
+app = typer.Typer(add_completion=False)
 
 
-def main() -> int:
-    """Serve until SIGTERM; return the exit code."""
+async def _serve(file: SettingsFile) -> None:
+    env = file.read()
+    seed = int.from_bytes(os.urandom(8), "big")
+    await MeshNode(env, platform_parts(env, file), Random(seed)).run()
+
+
+@app.command()
+def main(
+    settings: Annotated[
+        str, typer.Option(envvar=SETTINGS_VARIABLE, help="Path of the settings file.")
+    ],
+    operator_port: Annotated[
+        int,
+        typer.Option(
+            envvar="DOGWOODDOCK_OPERATOR_PORT",
+            help="Port for metrics and the state dump; 0 for none.",
+        ),
+    ] = 0,
+    log_level: Annotated[
+        str,
+        typer.Option(envvar="DOGWOODDOCK_LOG_LEVEL", help="Lowest level to log."),
+    ] = "info",
+) -> None:
+    """Serve until SIGTERM."""
+    configure_bounded_logs(log_level)
     try:
-        asyncio.run(_serve())
+        asyncio.run(_serve(SettingsFile(settings, operator_port)))
     except InvalidSettings as exc:
         structlog.get_logger().error("settings_refused", error=str(exc))
-        return EXIT_SETTINGS
-    return 0
+        raise typer.Exit(EXIT_SETTINGS) from exc
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    app()
--- a/dogwooddock/platform/parts.py
+++ b/dogwooddock/platform/parts.py
@@ -10,6 +10,7 @@
 from .heartbeats import decode_heartbeat, decode_leave, rpc_call
 from .names import OPERATOR_KEY, OPERATOR_TABLE, READY_PATH
 from .operator import decode_desired_state
+from .settings import SettingsFile
 from .store import StoreClient
 
 
@@ -20,7 +21,7 @@
     return (target_id, *decode_leave(request.body))
 
 
-def platform_parts(env: NodeEnvironment) -> PlatformParts:
+def platform_parts(env: NodeEnvironment, settings: SettingsFile) -> PlatformParts:
     """Return the adapter for a node."""
     return PlatformParts(
         store=StoreClient(env.store),
@@ -29,4 +30,6 @@
         config_place=(OPERATOR_TABLE, OPERATOR_KEY),
         read_heartbeat=_read_heartbeat,
         ready_path=READY_PATH,
+        read_environment=settings.read,
+        settings_changed=settings.changed,
     )
--- a/dogwooddock/platform/settings.py
+++ b/dogwooddock/platform/settings.py
@@ -1,8 +1,10 @@
 """The settings file that the platform writes for each process."""
 
-__all__ = ["read_settings"]
+__all__ = ["SettingsFile", "read_settings"]
 
 import json
+import os
+from dataclasses import replace
 from typing import Any
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -87,6 +89,43 @@
         raise InvalidSettings(f"settings file {path}: {exc}; correct it") from exc
 
 
+class SettingsFile:
+    """The settings file of this process.
+
+    Args:
+        path: Where it lies.
+        operator_port: Port for metrics and the state dump; 0 for none.
+    """
+
+    def __init__(self, path: str, operator_port: int = 0):
+        self._path = path
+        self._operator_port = operator_port
+        self._seen = ""
+
+    def read(self) -> NodeEnvironment:
+        """Read and check the file.
+
+        Raises:
+            InvalidSettings: It is unusable; the message names field and remedy.
+        """
+        self._seen = self._mark()
+        env = read_settings(self._path)
+        if not self._operator_port:
+            return env
+        return replace(env, operator_listen=(env.ip, self._operator_port))
+
+    def changed(self) -> bool:
+        """Report whether the file changed since it was read."""
+        return self._mark() != self._seen
+
+    def _mark(self) -> str:
+        try:
+            status = os.stat(self._path)
+        except OSError:
+            return ""
+        return f"{status.st_mtime_ns}/{status.st_size}/{status.st_ino}"
+
+
 def _environment(file: _File) -> NodeEnvironment:
     return NodeEnvironment(
         name=file.node,
--- a/tests/mesh_helpers.py
+++ b/tests/mesh_helpers.py
@@ -127,8 +127,26 @@
     )
 
 
+class FakeSettings:
+    """Settings that a test changes."""
+
+    def __init__(self, env):
+        self.env = env
+        self.error = None
+        self.is_changed = False
+
+    def read(self):
+        self.is_changed = False
+        if self.error is not None:
+            raise self.error
+        return self.env
+
+    def changed(self):
+        return self.is_changed
+
+
 async def start_node(env):
-    node = MeshNode(env, platform_parts(env), Random(7))
+    node = MeshNode(env, platform_parts(env, FakeSettings(env)), Random(7))
     await node.start()
     return node
 
@@ -157,7 +175,7 @@
 
 
 async def kill_node(node):
-    for server in (node.callers, node.probes, node.heartbeats):
+    for server in node.servers:
         server.stop()
         for conn in list(server.connections):
             conn.abort()
