--- a/bench/mesh_standin.py
+++ b/bench/mesh_standin.py
@@ -178,6 +178,7 @@
     caller: str
     deadline_ms: int
     at: float
+    target_id: str = ""
 
 
 @dataclass
@@ -294,6 +295,7 @@
                 fields.get(b"dogwooddock-caller-service", b"").decode(),
                 int(fields.get(b"dogwooddock-deadline-ms", b"0")),
                 time.monotonic(),
+                self.target_id,
             )
         )
         try:
