Keep serving the calls of running work while a node stops

Cause: read in review: a stopping node closed its callers' listener after 2.6 s although its target still ran requests, whose own calls then failed; and a stored record of another pool at a reused address was recovered as its own. Change: the listener closes once the gate is idle; records of other pools are ignored. Measured: both tests failed before and pass now.

--- a/bench/mesh_standin.py
+++ b/bench/mesh_standin.py
@@ -157,7 +157,8 @@
         shed: Whether it states that requests did not run.
         hang_when_full: Whether it never answers what finds no slot.
         garble: How its answers are spoiled: cut, extra, late, junk, foreign, unframed.
-        calls: Paths that each run calls at the local node.
+        calls: Hosts and paths that each run calls at the local node.
+        call_gap_s: Time before each of these calls, in seconds.
     """
 
     work_s: float = 0.0
@@ -166,6 +167,7 @@
     hang_when_full: bool = False
     garble: str = ""
     calls: tuple[tuple[str, str], ...] = ()
+    call_gap_s: float = 0.0
 
 
 @dataclass
@@ -310,6 +312,7 @@
 
     async def _call_others(self, request_id: str) -> int:
         for number, (host, path) in enumerate(self.mode.calls):
+            await asyncio.sleep(self.mode.call_gap_s)
             block = (
                 f"Host: {host}\r\nDogwooddock-Request-Id: {request_id}.{number}\r\n"
                 "Dogwooddock-Deadline-Ms: 1000\r\n"
--- a/dogwooddock/mesh/heartbeats.py
+++ b/dogwooddock/mesh/heartbeats.py
@@ -72,7 +72,7 @@
         except (PlatformError, TimeoutError) as exc:
             log.warning("own_record_unread", error=str(exc))
             record = None
-        if record is not None:
+        if record is not None and record.pool == self._env.pool:
             self._tracker.recover(_heartbeat_of(record, self._env.target))
         self._recovered = True
         self.reconsider()
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -168,11 +168,12 @@
         self.links.broadcast(self.probe(reply=True))
         while time.monotonic() < deadline:
             await asyncio.sleep(0.02)
-            listened = time.monotonic() - started >= DRAIN_LISTEN_S
-            if listened and not self.callers.closing_idle:
+            if self.gate.busy or time.monotonic() - started < DRAIN_LISTEN_S:
+                continue  # The target's runs may still need calls of their own.
+            if not self.callers.closing_idle:
                 self.callers.close_idle()
                 self.callers.stop_listening()
-            if listened and not (self.ingress.in_flight or self.gate.busy):
+            if not self.ingress.in_flight:
                 break
         for server in self.servers:
             server.stop()
--- a/tests/mesh_helpers.py
+++ b/tests/mesh_helpers.py
@@ -28,7 +28,7 @@
         "host": "app.example",
         "prefix": prefix,
         "kind": "idempotent",
-        "timeout": "2000ms",
+        "timeout": "8000ms",
         "slo": "1000ms",
         "priority": 1,
         "attempts": 2,
--- a/tests/test_mesh_target.py
+++ b/tests/test_mesh_target.py
@@ -1,6 +1,7 @@
 """Heartbeats of the local target: acknowledgements bind, also after a restart."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -177,3 +178,35 @@
             assert not place.node.gate.accepting
 
     run(scenario())
+
+
+def test_stopping_node_finishes_what_runs_with_the_calls_that_it_makes():
+    async def scenario():
+        async with running_fleet("shop", "stock") as fleet:
+            shop, stock = fleet.places
+            calls = (("app.example", "/stock/1"), ("app.example", "/stock/2"))
+            shop.target.mode = TargetMode(calls=calls, call_gap_s=1.6)
+            asked = asyncio.create_task(stock.ask("/read/1", "slow", wait_ms=8000))
+            await until(lambda: len(shop.target.runs) == 1)
+            stopping = asyncio.create_task(shop.node.stop())
+            refused = await stock.ask("/read/1", "late")
+            assert refused.status == 503
+            assert (await asked).status == 200
+            await stopping
+
+    run(scenario())
+
+
+def test_stored_record_of_another_pool_at_the_same_address_is_ignored():
+    async def scenario():
+        async with running_fleet("shop") as fleet:
+            (place,) = fleet.places
+            record = place.node.watch.record
+            other = replace(record, pool="other", state=TargetState.DRAINING)
+            place.node.announcer.announce(other)
+            await until(lambda: place.node.announcer.settled)
+            await restart_node(place)
+            await until(lambda: place.node.watch._recovered)
+            assert place.node.watch._tracker.current is None
+
+    run(scenario())
