--- a/dogwooddock/mesh/fleet.py
+++ b/dogwooddock/mesh/fleet.py
@@ -31,10 +31,19 @@
 class Sending:
     """A call on its way to a gate."""
 
-    __slots__ = ("_gate", "_gate_call", "_number", "candidate", "link", "sent_at")
-
-    def __init__(self, candidate: Candidate, sent_at: float):
+    __slots__ = (
+        "_gate",
+        "_gate_call",
+        "_number",
+        "candidate",
+        "kind",
+        "link",
+        "sent_at",
+    )
+
+    def __init__(self, candidate: Candidate, kind: str, sent_at: float):
         self.candidate = candidate
+        self.kind = kind
         self.sent_at = sent_at
         self._gate: Gate | None = None
         self._gate_call: GateCall | None = None
@@ -105,12 +114,16 @@
             self._links[address] = link
         return link
 
-    def choose(self, pool: str, excluded: set[int]) -> Candidate | None:
+    def choose(
+        self, pool: str, excluded: set[int], kind: str, allowed_s: float
+    ) -> Candidate | None:
         """Return the target for a call, or None if none can be reached.
 
         Args:
             pool: Pool to choose from.
             excluded: Nodes that were tried before.
+            kind: Route of the call.
+            allowed_s: Time in which its answer is worth most, in seconds.
         """
         now = self._loop.time()
         if pool not in self._pool_used_at:
@@ -120,7 +133,7 @@
         for candidate in self.selector.candidates(pool):
             if not self._usable(candidate.node_id):
                 unusable.add(candidate.node_id)
-        return self.selector.choose(pool, now, self._rng, unusable)
+        return self.selector.choose(pool, now, self._rng, unusable, kind, allowed_s)
 
     def _usable(self, node_id: int) -> bool:
         address = self._addresses[node_id]
@@ -148,7 +161,7 @@
         done: Callable[[MeshReply], None],
     ) -> Sending:
         """Send a call to a gate; ``done`` is called once unless it is cancelled."""
-        sending = Sending(candidate, self._loop.time())
+        sending = Sending(candidate, call.route, self._loop.time())
         self.selector.sent(candidate)
 
         def on_reply(reply: MeshReply) -> None:
@@ -181,6 +194,7 @@
             load.in_flight + load.queued,
             False,
             failed or (reply.status >= 500 and reply.reason is Reason.NONE),
+            sending.kind,
         )
         if sending.link is not None:
             sending.link.peer_accepting = load.accepting
--- a/dogwooddock/mesh/ingress.py
+++ b/dogwooddock/mesh/ingress.py
@@ -191,7 +191,9 @@
         if self._quarantine.standing(now, call.fingerprint) is Standing.QUARANTINED:
             self._give_up(pending, Reason.QUARANTINED)
             return
-        candidate = self._fleet.choose(pending.pool, pending.tried)
+        candidate = self._fleet.choose(
+            pending.pool, pending.tried, call.route, call.objective_at - now
+        )
         if candidate is None:
             self._wait_for_link(pending, now)
             return
--- a/dogwooddock/policy/selection.py
+++ b/dogwooddock/policy/selection.py
@@ -18,6 +18,8 @@
 FAILURE_COST_S = 1.0
 FAILURE_HALF_LIFE_S = 2.0
 SAMPLED_PER_GROUP = 3
+WELL_WITHIN_SHARE = 0.4
+MAX_KINDS = 1024
 FAILURES_TO_EJECT = 3
 EJECT_BASE_S = 1.0
 EJECT_MAX_S = 20.0
@@ -41,7 +43,7 @@
     limit: int = 1
     reported_load: int = 0
     reported_at: float = 0.0
-    latency_s: float = 0.0
+    latencies: dict[str, float] = field(default_factory=dict)
     draining: bool = False
     failures: int = 0
     failure_rate: float = 0.0
@@ -81,18 +83,55 @@
         return self._pools.get(pool, {}).get(node_id)
 
     def choose(
-        self, pool: str, now: float, rng: Random, excluded: set[int]
+        self,
+        pool: str,
+        now: float,
+        rng: Random,
+        excluded: set[int],
+        kind: str = "",
+        allowed_s: float = 0.0,
     ) -> Candidate | None:
-        """Pick a target that was not tried before, or None."""
+        """Pick a target that was not tried before, or None.
+
+        Args:
+            pool: Pool to choose from.
+            now: Monotonic time in seconds.
+            rng: Source of the sample and of jitter.
+            excluded: Nodes that were tried before.
+            kind: Kind of the call; times are compared within one kind.
+            allowed_s: Time in which the answer is worth most, in seconds; the own
+                availability zone is not left while it answers well within it.
+        """
         eligible = self._eligible(pool, now, excluded)
         if not eligible:
             return None
         local = [item for item in eligible if item.zone == self.zone]
         remote = [item for item in eligible if item.zone != self.zone]
-        sampled = _sample(local, rng) + _sample(remote, rng)
+        near = _sample(local, rng)
+        at_home = self._cheapest(near, now, rng, kind)
+        if at_home is not None and self._serves_well(at_home, now, kind, allowed_s):
+            return at_home
+        return self._cheapest(near + _sample(remote, rng), now, rng, kind)
+
+    def _cheapest(
+        self, group: list[Candidate], now: float, rng: Random, kind: str
+    ) -> Candidate | None:
+        if len(group) < 2:
+            return group[0] if group else None
         return min(
-            sampled,
-            key=lambda item: self._cost(item, now) * (1.0 + COST_JITTER * rng.random()),
+            group,
+            key=lambda item: (
+                self._cost(item, now, kind) * (1.0 + COST_JITTER * rng.random())
+            ),
+        )
+
+    def _serves_well(
+        self, candidate: Candidate, now: float, kind: str, allowed_s: float
+    ) -> bool:
+        """Report whether a target has room and answers well within a time."""
+        return (
+            self._used(candidate, now) <= CROWDED_SHARE
+            and self._cost(candidate, now, kind) <= allowed_s * WELL_WITHIN_SHARE
         )
 
     def _eligible(self, pool: str, now: float, excluded: set[int]) -> list[Candidate]:
@@ -106,15 +145,21 @@
             return healthy
         return present
 
-    def _cost(self, candidate: Candidate, now: float) -> float:
-        """Return the expected time to an answer, in seconds, with what else weighs."""
+    def _used(self, candidate: Candidate, now: float) -> float:
+        """Return the share of a target's slots that a further call would use."""
         reported = candidate.reported_load
         if now - candidate.reported_at > LOAD_STALE_S:
             reported = 0
         load = max(candidate.outstanding, reported) + 1
-        used = load / max(1, candidate.limit)
+        return load / max(1, candidate.limit)
+
+    def _cost(self, candidate: Candidate, now: float, kind: str) -> float:
+        """Return the expected time to an answer, in seconds, with what else weighs."""
+        used = self._used(candidate, now)
         idle_s = max(0.0, now - candidate.reported_at)
-        latency_s = candidate.latency_s * 0.5 ** (idle_s / LATENCY_HALF_LIFE_S)
+        latency_s = candidate.latencies.get(kind, 0.0) * 0.5 ** (
+            idle_s / LATENCY_HALF_LIFE_S
+        )
         cost = max(LEAST_LATENCY_S, latency_s)
         if candidate.zone != self.zone:
             cost += cost * REMOTE_COST_SHARE + REMOTE_COST_S
@@ -141,6 +186,7 @@
         load: int,
         draining: bool,
         failed: bool,
+        kind: str = "",
     ) -> None:
         """Account for a reply and the load that it reported."""
         candidate.outstanding -= 1
@@ -155,8 +201,13 @@
         candidate.failures = 0
         if now - candidate.ejected_until > RECOVERY_S:
             candidate.ejections = 0
-        change = latency_s - candidate.latency_s
-        candidate.latency_s += change * LATENCY_SMOOTHING
+        held = candidate.latencies.get(kind)
+        if held is None:
+            if len(candidate.latencies) >= MAX_KINDS:
+                candidate.latencies.clear()
+            candidate.latencies[kind] = latency_s
+        else:
+            candidate.latencies[kind] += (latency_s - held) * LATENCY_SMOOTHING
 
     def lost(self, candidate: Candidate, now: float) -> None:
         """Account for a call that got no reply."""
