--- a/bench/soak.py
+++ b/bench/soak.py
@@ -12,6 +12,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import tempfile
 from collections import Counter
@@ -41,8 +42,6 @@
 DEADLINE_MS = 1500
 FAULT_GAP_S = 0.6
 PORTS_PER_NODE = 8
-FIRST_PORT = 20_000
-PORT_SPREAD = 8_000
 
 
 @dataclass
@@ -134,7 +133,7 @@
         """Start store, targets and nodes."""
         await self.store.start()
         await self.store.put("op", "config", self._document())
-        base = FIRST_PORT + self.seed % PORT_SPREAD
+        base = _free_ports(PORTS_PER_NODE)
         for index, pool in enumerate(POOLS):
             self.places.append(await self._place(index, pool, base))
         for place in self.places:
@@ -474,6 +473,25 @@
     return {"type": "routes", "metadata": {"name": name}, "spec": spec}
 
 
+def _free_ports(count: int) -> int:
+    """Return the first of a run of ports that the system has free."""
+    while True:
+        with socket.socket() as first:
+            first.bind(("127.0.0.1", 0))
+            base = first.getsockname()[1]
+            if all(_is_free(base + offset) for offset in range(1, count)):
+                return base
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("0.0.0.0", port))
+        except (OSError, OverflowError):
+            return False
+    return True
+
+
 def run_soak(seed: int, seconds: float, folder: Path) -> SoakReport:
     """Play one seed; logs of the nodes go to the folder."""
     return asyncio.run(_Soak(seed, seconds, folder).run())
--- a/dogwooddock/operators/cli.py
+++ b/dogwooddock/operators/cli.py
@@ -165,6 +165,20 @@
     _print_changes(applied.version, applied.changes, False)
 
 
+@app.command()
+def explain(
+    request_id: Annotated[str, typer.Argument(help="Identity of the request.")],
+    logs: Annotated[list[Path], typer.Argument(help="Logs of any nodes.")],
+) -> None:
+    """Show what the logs say about a request and the calls of its run."""
+    found = _guard(lambda: porcelain.explain_from_logs(request_id, logs))
+    for line in found:
+        print(line.text)
+    if not found:
+        print(f"no line about {request_id}; look in the logs of more nodes")
+        raise typer.Exit(1)
+
+
 @app.command()
 def show(platform_url: PlatformUrl, as_json: AsJson = False) -> None:
     """Show the newest tables."""
--- a/dogwooddock/porcelain.py
+++ b/dogwooddock/porcelain.py
@@ -8,6 +8,7 @@
     "apply_tables",
     "check_tables",
     "diff_tables",
+    "explain_from_logs",
     "fetch_state",
     "quarantine_list",
     "quarantine_release",
@@ -25,6 +26,7 @@
 
 from .config.store import ConfigStore
 from .errors import DogwooddockError, InvalidTables, RowProblem
+from .operators.explain import LogLine, explain_request
 from .store.http import HttpObjectStore, HttpTableService
 from .tables import Edit, RowChange, Tables, changes_between, parse_tables
 
@@ -140,3 +142,18 @@
         text = f"no answer from {address}; check that it is a node's admin port"
         raise DogwooddockError(text) from exc
     return json.loads(answer.data)
+
+
+def explain_from_logs(request_id: str, logs: list[Path]) -> list[LogLine]:
+    """Return what the logs of any nodes say about a request, in order of time.
+
+    Raises:
+        DogwooddockError: A log cannot be read.
+    """
+    lines: list[str] = []
+    for path in logs:
+        try:
+            lines.extend(path.read_text(errors="replace").splitlines())
+        except OSError as exc:
+            raise DogwooddockError(f"{path} cannot be read: {exc}; name a log") from exc
+    return explain_request(request_id, lines)
