Charge repeats of the chain above to each pool's retry budget

Cause: read in review: a repeated run makes its calls again, which count as repeats at the pools below, while each layer spent its own 0.1; four layers that fail together could pass the fleet's 0.2. Change: a call knows that it belongs to a repeat and takes a token; the share of the allowance in use rises from 0.5 to 0.8; the last tokens are kept for requests of higher rank.

--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -55,7 +55,7 @@
 
 
 class _Generous(RetryBudget):
-    def spend(self, caller: str, pool: str) -> bool:
+    def spend(self, caller: str, pool: str, reserve: float = 0.0) -> bool:
         """Allow every retry."""
         return True
 
--- a/dogwooddock/mesh/calls.py
+++ b/dogwooddock/mesh/calls.py
@@ -35,6 +35,7 @@
         fingerprint: Identity of the request across resends.
         rank: Rank of the chain's first request, in hundredths of a class of
             importance; the same on every hop.
+        repeat: Whether a target received the request before, or one above it.
     """
 
     request_id: bytes
@@ -52,6 +53,7 @@
     caller: str
     fingerprint: str
     rank: int = 0
+    repeat: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/dogwooddock/mesh/ingress.py
+++ b/dogwooddock/mesh/ingress.py
@@ -16,7 +16,7 @@
 from ..errors import DogwooddockError
 from ..http1.server import Exchange
 from ..policy.advice import retry_after_s
-from ..policy.levels import request_rank
+from ..policy.levels import LEVEL_SCALE, request_rank
 from ..policy.outcomes import Outcome, Reason
 from ..policy.quarantine import Quarantine, Standing, fingerprint
 from ..policy.resends import Resend, resend_for
@@ -171,6 +171,7 @@
             self._env.pool,
             fingerprint(self._env.pool, "", request.body, path),
             _rank(route, fields.request_id, parent),
+            parent is not None and parent.call.repeat,
         )
         pending = _Pending(exchange, call, route, pool, now, parent)
         self.in_flight += 1
@@ -179,6 +180,8 @@
             call.deadline + ANSWER_SLACK_S, self._time_out, pending
         )
         self._budget.earn("", pool)
+        if call.repeat:
+            self._budget.debit("", pool)
         return pending
 
     # Attempts.
@@ -273,8 +276,10 @@
             return pending.room_resends <= MAX_ROOM_RESENDS
         if pending.reached >= pending.route.attempts:
             return False
-        if not self._budget.spend("", pending.pool):
+        reserve = 1.0 - call.rank / (CALLER_CLASSES * LEVEL_SCALE)
+        if not self._budget.spend("", pending.pool, reserve):
             return False
+        call.repeat = True
         self.resends += 1
         log.info(
             "request_resent",
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -36,7 +36,7 @@
 from .rows import Row, RowStore
 from .wireformat import HeaderFormat
 
-RETRY_SHARE = 0.5
+RETRY_SHARE = 0.8
 MOST_RETRY_TOKENS = 4.0
 DRAIN_LISTEN_S = 2.6
 EXIT_MARGIN_S = 0.6
@@ -93,7 +93,9 @@
         self.node_id = node_id_of(env.peer_listen)
         self.quarantine = Quarantine()
         self.config = ConfigHolder(parts.decode_config, self._on_config)
-        self.budget = RetryBudget(env.bounds.retry_ratio * RETRY_SHARE)
+        self.budget = RetryBudget(
+            env.bounds.retry_ratio * RETRY_SHARE, MOST_RETRY_TOKENS
+        )
         self.gate = Gate(parts.wire, self.quarantine, self._on_target_lost)
         self.fleet = Fleet(env.peer_listen, env.zone, self.gate, self, rng)
         self.ingress = Ingress(
--- a/dogwooddock/peers/linkcodec.py
+++ b/dogwooddock/peers/linkcodec.py
@@ -172,6 +172,7 @@
         call.fingerprint,
         frame.config_version,
         call.rank,
+        call.repeat,
     )
 
 
@@ -192,6 +193,7 @@
         wire.caller,
         wire.fingerprint,
         wire.rank,
+        wire.repeat,
     )
     return NumberedCall(wire.call_id, call, wire.config_version)
 
--- a/dogwooddock/peers/peer.thrift
+++ b/dogwooddock/peers/peer.thrift
@@ -155,6 +155,7 @@
   15: string fingerprint
   16: i64 config_version
   17: i32 rank
+  18: bool repeat
 }
 
 struct LinkLoad {
--- a/dogwooddock/peers/wire/ttypes.py
+++ b/dogwooddock/peers/wire/ttypes.py
@@ -1714,6 +1714,7 @@
      - fingerprint
      - config_version
      - rank
+     - repeat
 
     """
 
@@ -1735,10 +1736,11 @@
         'fingerprint',
         'config_version',
         'rank',
+        'repeat',
     )
 
 
-    def __init__(self, call_id=None, request_id=None, route=None, target_id=None, method=None, path=None, headers=None, body=None, remaining_ms=None, objective_ms=None, idempotent=None, importance=None, depth=None, caller=None, fingerprint=None, config_version=None, rank=None,):
+    def __init__(self, call_id=None, request_id=None, route=None, target_id=None, method=None, path=None, headers=None, body=None, remaining_ms=None, objective_ms=None, idempotent=None, importance=None, depth=None, caller=None, fingerprint=None, config_version=None, rank=None, repeat=None,):
         self.call_id = call_id
         self.request_id = request_id
         self.route = route
@@ -1756,6 +1758,7 @@
         self.fingerprint = fingerprint
         self.config_version = config_version
         self.rank = rank
+        self.repeat = repeat
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1851,6 +1854,11 @@
                     self.rank = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.BOOL:
+                    self.repeat = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1929,6 +1937,10 @@
             oprot.writeFieldBegin('rank', TType.I32, 17)
             oprot.writeI32(self.rank)
             oprot.writeFieldEnd()
+        if self.repeat is not None:
+            oprot.writeFieldBegin('repeat', TType.BOOL, 18)
+            oprot.writeBool(self.repeat)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2860,6 +2872,7 @@
     (15, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 15
     (16, TType.I64, 'config_version', None, None, ),  # 16
     (17, TType.I32, 'rank', None, None, ),  # 17
+    (18, TType.BOOL, 'repeat', None, None, ),  # 18
 )
 all_structs.append(LinkLoad)
 LinkLoad.thrift_spec = (
--- a/dogwooddock/policy/retries.py
+++ b/dogwooddock/policy/retries.py
@@ -56,11 +56,23 @@
             self._tokens.clear()
         self._tokens[key] = min(self.max_tokens, held + self.ratio)
 
-    def spend(self, caller: str, pool: str) -> bool:
-        """Take one retry; return False if the budget is exhausted."""
+    def debit(self, caller: str, pool: str) -> None:
+        """Account for a repeat that was decided elsewhere; may go below zero."""
         key = (caller, pool)
         held = self._tokens.get(key, min(self.max_tokens, INITIAL_TOKENS))
-        if held < 1.0:
+        self._tokens[key] = held - 1.0
+
+    def spend(self, caller: str, pool: str, reserve: float = 0.0) -> bool:
+        """Take one retry; return False if the budget is exhausted.
+
+        Args:
+            caller: Caller that it is charged to.
+            pool: Pool that gets the retry.
+            reserve: Share of the most that can be held, which is left for others.
+        """
+        key = (caller, pool)
+        held = self._tokens.get(key, min(self.max_tokens, INITIAL_TOKENS))
+        if held < 1.0 + reserve * max(0.0, self.max_tokens - 1.0):
             return False
         self._tokens[key] = held - 1.0
         return True
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -43,3 +43,23 @@
     for index in range(3 * MAX_PAIRS):
         budget.earn(f"caller-{index}", "orders")
     assert len(budget._tokens) <= MAX_PAIRS
+
+
+def test_budget_keeps_its_last_tokens_for_what_matters_more():
+    budget = RetryBudget(max_tokens=4.0)
+    granted = [budget.spend("", "p", reserve=0.5) for _ in range(3)]
+    assert granted == [True, False, False]
+    assert [budget.spend("", "p") for _ in range(3)] == [True, True, False]
+
+
+def test_repeats_of_the_chain_above_leave_less_for_retries():
+    budget = RetryBudget(ratio=0.2)
+    granted = 0
+    repeats = 0
+    for number in range(10_000):
+        budget.earn("", "p")
+        if number % 10 == 0:
+            budget.debit("", "p")
+            repeats += 1
+        granted += budget.spend("", "p")
+    assert granted + repeats <= 0.2 * 10_000 + 3
