--- a/dogwooddock/http1/messages.py
+++ b/dogwooddock/http1/messages.py
@@ -131,7 +131,7 @@
         if self._header_bytes > self.max_header_bytes:
             raise HttpProblem(431, "the headers are too large; send fewer or shorter")
         lower = name.lower()
-        if lower in SINGLE_HEADERS and lower in self._fields:
+        if lower in self._fields and lower in SINGLE_HEADERS:
             raise HttpProblem(400, f"header {name!r} is repeated; send it once")
         self._headers.append((name, value))
         self._fields[lower] = value
--- a/dogwooddock/peers/linkcodec.py
+++ b/dogwooddock/peers/linkcodec.py
@@ -19,9 +19,9 @@
 from enum import IntEnum
 from typing import Any
 
-from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
 from thrift.Thrift import TException
-from thrift.TSerialization import deserialize, serialize
+from thrift.transport.TTransport import TMemoryBuffer
 
 from ..errors import PeerError
 from ..mesh.calls import GateLoad, MeshCall, MeshReply, NodeRecord, StateUpdate
@@ -33,7 +33,8 @@
 
 MAX_FRAME_BYTES = 80 * 1024 * 1024
 
-_FACTORY = TBinaryProtocolAcceleratedFactory()
+# One protocol serves every frame; only its transport changes.
+_PROTOCOL = TBinaryProtocolAccelerated(TMemoryBuffer())
 _HEADER = struct.Struct("!IB")
 _OUTCOMES = (Outcome.ANSWERED, Outcome.NOT_RUN, Outcome.UNKNOWN)
 
@@ -328,7 +329,9 @@
         now: Loop time, to turn times into what is left of them.
     """
     kind, writer = _WRITERS[type(frame)]
-    payload = serialize(writer(frame, now), _FACTORY)
+    buffer = _PROTOCOL.trans = TMemoryBuffer()
+    writer(frame, now).write(_PROTOCOL)
+    payload = buffer.getvalue()
     return _HEADER.pack(len(payload), kind) + payload
 
 
@@ -365,6 +368,9 @@
 def _decode(kind: int, payload: bytes, now: float) -> Frame:
     wire_type, reader = _READERS[kind]
     try:
-        return reader(deserialize(wire_type(), payload, _FACTORY), now)
+        _PROTOCOL.trans = TMemoryBuffer(payload)
+        wire = wire_type()
+        wire.read(_PROTOCOL)
+        return reader(wire, now)
     except (TException, EOFError, ValueError, TypeError, IndexError) as exc:
         raise PeerError("a frame is malformed; run one release on all nodes") from exc
