--- a/bench/mesh_standin.py
+++ b/bench/mesh_standin.py
@@ -159,6 +159,7 @@
         garble: How its answers are spoiled: cut, extra, late, junk, foreign, unframed.
         calls: Hosts and paths that each run calls at the local node.
         call_gap_s: Time before each of these calls, in seconds.
+        late_s: Delay of a second answer, in seconds.
     """
 
     work_s: float = 0.0
@@ -168,6 +169,7 @@
     garble: str = ""
     calls: tuple[tuple[str, str], ...] = ()
     call_gap_s: float = 0.0
+    late_s: float = 0.02
 
 
 @dataclass
@@ -354,6 +356,14 @@
             exchange.write_raw(whole)
             loop = asyncio.get_running_loop()
             loop.call_later(0.02, exchange.write_raw, foreign)
+        elif garble == "late-refusal":
+            exchange.write_raw(whole)
+            bare = (
+                b"HTTP/1.1 503 Service Unavailable\r\nDogwooddock-Not-Run: 1\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.mode.late_s, exchange.write_raw, bare)
         elif garble == "junk":
             exchange.write_raw(b"\x00\x01 no response\r\n\r\n", close=True)
         elif garble == "foreign":
--- a/dogwooddock/http1/client.py
+++ b/dogwooddock/http1/client.py
@@ -71,6 +71,11 @@
         """Report whether a request is in progress."""
         return self._done is not None
 
+    @property
+    def reused(self) -> bool:
+        """Report whether the connection has served a request before."""
+        return self._served > 0
+
     @property
     def idle_s(self) -> float:
         """Return how long the connection has been idle, in seconds."""
--- a/dogwooddock/http1/server.py
+++ b/dogwooddock/http1/server.py
@@ -95,7 +95,7 @@
             close: Whether the connection ends after them.
             reset: Whether the connection is reset after them.
         """
-        self._conn.write_raw(data, close, reset)
+        self._conn.write_raw(self, data, close, reset)
 
 
 Handler = Callable[[Exchange], None]
@@ -177,10 +177,12 @@
         if len(pending) < MAX_PIPELINED and self._paused_at is None:
             self._transport.resume_reading()
 
-    def write_raw(self, data: bytes, close: bool, reset: bool) -> None:
-        """Write bytes as they are."""
-        if self._pending:
-            self._pending.popleft()
+    def write_raw(
+        self, exchange: Exchange, data: bytes, close: bool, reset: bool
+    ) -> None:
+        """Write bytes as they are, in place of an exchange's response."""
+        if exchange in self._pending:
+            self._pending.remove(exchange)
         if self.closed:
             return
         self._transport.write(data)
--- a/dogwooddock/mesh/gate.py
+++ b/dogwooddock/mesh/gate.py
@@ -234,7 +234,9 @@
         return Reason.NONE
 
     def _refuse(self, gate_call: GateCall, reason: Reason) -> None:
-        self._finish(gate_call, MeshReply(Outcome.NOT_RUN, reason))
+        """Answer that the call did not run, unless an earlier send of it may have."""
+        outcome = Outcome.UNKNOWN if gate_call.resent else Outcome.NOT_RUN
+        self._finish(gate_call, MeshReply(outcome, reason, reached=gate_call.resent))
 
     def _finish(self, gate_call: GateCall, reply: MeshReply) -> None:
         if gate_call.finished:
@@ -341,11 +343,12 @@
             )
         block = call.headers + self._wire.target_headers(call, remaining_s)
         self.counts.sent += 1
+        fresh = not conn.reused
         self._running[call.request_id] = gate_call
         conn.send(
             render_request(call.method, call.path, block, call.body),
             lambda result: self._on_result(gate_call, pool, conn, result),
-            lambda response: self._wire.belongs(call, response),
+            lambda response: self._wire.belongs(call, response, fresh),
         )
 
     def _on_result(
--- a/dogwooddock/mesh/wireformat.py
+++ b/dogwooddock/mesh/wireformat.py
@@ -65,8 +65,15 @@
         """Render the headers that the gate adds for its target."""
 
     @abstractmethod
-    def belongs(self, call: MeshCall, response: Response) -> bool:
-        """Report whether a response answers a call."""
+    def belongs(self, call: MeshCall, response: Response, fresh: bool) -> bool:
+        """Report whether a response answers a call.
+
+        Args:
+            call: The call that waits.
+            response: A response on its connection.
+            fresh: Whether the connection served no other call before, so that the
+                response cannot be a late one of another call.
+        """
 
     @abstractmethod
     def read_answer(self, response: Response) -> TargetAnswer:
--- a/dogwooddock/platform/headers.py
+++ b/dogwooddock/platform/headers.py
@@ -55,11 +55,11 @@
             call.caller.encode("latin-1"),
         )
 
-    def belongs(self, call: MeshCall, response: Response) -> bool:
+    def belongs(self, call: MeshCall, response: Response, fresh: bool) -> bool:
         """Report whether a response answers a call."""
         echoed = response.fields.get(REQUEST_ID)
         if echoed is None:
-            return NOT_RUN in response.fields or response.status == 421
+            return fresh and (NOT_RUN in response.fields or response.status == 421)
         return echoed == call.request_id
 
     def read_answer(self, response: Response) -> TargetAnswer:
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -63,6 +63,23 @@
 ]
 
 
+def test_late_refusal_without_identity_is_not_taken_for_the_next_call():
+    async def scenario():
+        async with running_fleet("shop", "stock") as fleet:
+            target = fleet.places[0].target
+            for number in range(5):
+                # The second answer of a call arrives while the next one runs.
+                target.mode = TargetMode(garble="late-refusal", late_s=0.05)
+                first = await fleet.places[1].ask("/read/1", f"first-{number}")
+                target.mode = TargetMode(work_s=0.2)
+                second = await fleet.places[1].ask(
+                    "/order/1", f"second-{number}", method="POST"
+                )
+                assert (first.status, second.status) == (200, 200)
+
+    run(scenario())
+
+
 @pytest.mark.parametrize(("garble", "statuses"), GARBLES)
 def test_spoiled_answers_are_never_mixed(garble, statuses):
     async def scenario():
