--- a/dogwooddock/mesh/fleet.py
+++ b/dogwooddock/mesh/fleet.py
@@ -12,7 +12,8 @@
 from ..policy.outcomes import Outcome, Reason
 from ..policy.selection import Candidate, Selector
 from .calls import MeshCall, MeshReply, NodeRecord
-from .gate import Gate, GateCall
+from .gate import Gate
+from .gatecalls import GateCall
 from .members import MemberTable
 
 WATCH_PERIOD_S = 0.1
--- a/dogwooddock/mesh/gate.py
+++ b/dogwooddock/mesh/gate.py
@@ -5,13 +5,10 @@
 of all nodes for one target.
 """
 
-__all__ = ["Gate", "GateCall", "GateTarget"]
+__all__ = ["Gate"]
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from enum import Enum
 
 import structlog
 
@@ -23,6 +20,7 @@
 from ..policy.outcomes import Outcome, Reason
 from ..policy.quarantine import Quarantine, Standing
 from .calls import GateLoad, MeshCall, MeshReply
+from .gatecalls import GateCall, GateCounts, GateTarget, Stage
 from .wireformat import HeaderFormat
 
 SWEEP_PERIOD_S = 0.01
@@ -40,58 +38,6 @@
 log = structlog.get_logger()
 
 
-class _Stage(Enum):
-    WAITING = 1
-    CONNECTING = 2
-    RUNNING = 3
-    FINISHED = 4
-
-
-@dataclass(slots=True, eq=False)
-class GateCall:
-    """A call at the gate."""
-
-    call: MeshCall
-    done: Callable[[MeshReply], None]
-    queued: QueuedCall
-    stage: _Stage = _Stage.WAITING
-    conn: ClientConnection | None = None
-    sent_at: float = 0.0
-    timer: asyncio.TimerHandle | None = None
-    resent: bool = False
-    failed_below: bool = False
-    below_level: int = 0
-    arrived_at: float = 0.0
-
-    @property
-    def finished(self) -> bool:
-        """Report whether ``done`` was called or will not be."""
-        return self.stage is _Stage.FINISHED
-
-
-@dataclass(frozen=True, slots=True)
-class GateTarget:
-    """The target that the gate serves.
-
-    Args:
-        target_id: Identity of the target.
-        address: Address of the target.
-        slots: Requests that it runs at once.
-    """
-
-    target_id: str
-    address: tuple[str, int]
-    slots: int
-
-
-@dataclass
-class GateCounts:
-    """Totals since the start."""
-
-    outcomes: Counter[tuple[str, str]] = field(default_factory=Counter)
-    sent: int = 0
-
-
 class Gate:
     """Hand out the target's slots and carry calls to it.
 
@@ -241,7 +187,7 @@
     def _finish(self, gate_call: GateCall, reply: MeshReply) -> None:
         if gate_call.finished:
             return
-        gate_call.stage = _Stage.FINISHED
+        gate_call.stage = Stage.FINISHED
         if gate_call.timer is not None:
             gate_call.timer.cancel()
         self.counts.outcomes[(reply.outcome.value, reply.reason.value)] += 1
@@ -288,7 +234,7 @@
         if conn is not None:
             self._send(gate_call, pool, conn)
             return
-        gate_call.stage = _Stage.CONNECTING
+        gate_call.stage = Stage.CONNECTING
         self._loop.create_task(self._connect(gate_call, pool))
 
     async def _connect(self, gate_call: GateCall, pool: ConnectionPool) -> None:
@@ -334,7 +280,7 @@
             self._release(gate_call)
             self._refuse(gate_call, Reason.DEADLINE)
             return
-        gate_call.stage = _Stage.RUNNING
+        gate_call.stage = Stage.RUNNING
         gate_call.conn = conn
         gate_call.sent_at = now
         if gate_call.timer is None:
@@ -394,7 +340,7 @@
         harmless = lost.reused and lost.reset and not lost.began
         if harmless and call.idempotent and not gate_call.resent:
             gate_call.resent = True
-            gate_call.stage = _Stage.CONNECTING
+            gate_call.stage = Stage.CONNECTING
             self._loop.create_task(self._connect(gate_call, pool))
             return
         log.info(
@@ -425,7 +371,7 @@
     def _time_out(self, gate_call: GateCall) -> None:
         if gate_call.finished:
             return
-        if gate_call.stage is _Stage.RUNNING:
+        if gate_call.stage is Stage.RUNNING:
             self._break_off(gate_call)
         self._finish(
             gate_call, MeshReply(Outcome.UNKNOWN, Reason.DEADLINE, reached=True)
@@ -442,14 +388,14 @@
         """Drop a call that nobody waits for; what cannot be repeated runs on."""
         if gate_call.finished:
             return
-        if gate_call.stage is _Stage.WAITING:
+        if gate_call.stage is Stage.WAITING:
             self._waiting.pop(gate_call.queued, None)
             self.admission.withdraw(gate_call.queued)
-        elif gate_call.stage is _Stage.RUNNING:
+        elif gate_call.stage is Stage.RUNNING:
             if not gate_call.call.idempotent:
                 return
             self._break_off(gate_call)
-        gate_call.stage = _Stage.FINISHED
+        gate_call.stage = Stage.FINISHED
         if gate_call.timer is not None:
             gate_call.timer.cancel()
 
--- a/dogwooddock/mesh/heartbeats.py
+++ b/dogwooddock/mesh/heartbeats.py
@@ -14,7 +14,8 @@
 from .announcer import Announcer
 from .calls import NodeRecord
 from .environment import NodeEnvironment
-from .gate import Gate, GateTarget
+from .gate import Gate
+from .gatecalls import GateTarget
 from .wireformat import HeaderFormat
 
 RECOVER_TIMEOUT_S = 1.5
--- a/dogwooddock/mesh/ingress.py
+++ b/dogwooddock/mesh/ingress.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from collections import Counter
-from dataclasses import dataclass, field
 from random import Random
 
 import structlog
@@ -16,7 +15,7 @@
 from ..errors import DogwooddockError
 from ..http1.server import Exchange
 from ..policy.advice import retry_after_s
-from ..policy.levels import LEVEL_SCALE, request_rank
+from ..policy.levels import LEVEL_SCALE
 from ..policy.outcomes import Outcome, Reason
 from ..policy.quarantine import Quarantine, Standing, fingerprint
 from ..policy.resends import Resend, resend_for
@@ -25,9 +24,10 @@
 from .calls import MeshCall, MeshReply
 from .config import ConfigHolder
 from .environment import NodeEnvironment
-from .fleet import Fleet, Sending
-from .gate import Gate, GateCall
+from .fleet import Fleet
+from .gate import Gate
 from .metrics import LatencyHistogram
+from .pending import CALLER_CLASSES, PendingRequest, chain_rank, chain_standing
 from .routing import MeshRoute
 from .wireformat import CallerFields, HeaderFormat
 
@@ -36,46 +36,10 @@
 MAX_ROOM_RESENDS = 1
 LINK_WAIT_S = 0.03
 LINK_WAIT_SHARE = 0.12
-CALLER_CLASSES = 5
 
 log = structlog.get_logger()
 
 
-@dataclass(slots=True, eq=False)
-class _Pending:
-    """A request that is not answered yet.
-
-    Args:
-        exchange: Where the answer goes.
-        call: The call as it is sent; the target changes with each attempt.
-        route: Its route.
-        pool: Pool that it goes to.
-        arrived_at: Loop time of its arrival, in seconds.
-        unconfirmed: Attempts that no gate has said did not run.
-        failure: A target's own failure, kept while another target is tried.
-        parent: The call that the local target made it for, or None.
-    """
-
-    exchange: Exchange
-    call: MeshCall
-    route: MeshRoute
-    pool: str
-    arrived_at: float
-    parent: GateCall | None = None
-    sending: Sending | None = None
-    timer: asyncio.TimerHandle | None = None
-    tried: set[int] = field(default_factory=set)
-    reached: int = 0
-    free_resends: int = 0
-    room_resends: int = 0
-    unconfirmed: int = 0
-    failure: MeshReply | None = None
-    last: MeshReply = field(
-        default_factory=lambda: MeshReply(Outcome.NOT_RUN, Reason.NO_TARGET)
-    )
-    done: bool = False
-
-
 class Ingress:
     """Carry each request to a target and its answer back.
 
@@ -146,14 +110,14 @@
 
     def _admit(
         self, exchange: Exchange, fields: CallerFields, route: MeshRoute, pool: str
-    ) -> _Pending:
+    ) -> PendingRequest:
         now = exchange.arrived_at
         request = exchange.request
         wait_s = route.timeout_s
         if fields.wait_s is not None:
             wait_s = min(wait_s, fields.wait_s)
         parent = self._gate.parent_of(fields.request_id)
-        importance, depth = _standing(route, parent)
+        importance, depth = chain_standing(route, parent)
         path = request.target.decode("latin-1")
         call = MeshCall(
             fields.request_id,
@@ -170,10 +134,10 @@
             depth,
             self._env.pool,
             fingerprint(self._env.pool, "", request.body, path),
-            _rank(route, fields.request_id, parent),
+            chain_rank(route, fields.request_id, parent),
             parent is not None and parent.call.repeat,
         )
-        pending = _Pending(exchange, call, route, pool, now, parent)
+        pending = PendingRequest(exchange, call, route, pool, now, parent)
         self.in_flight += 1
         exchange.on_gone = lambda: self._on_gone(pending)
         pending.timer = self._loop.call_at(
@@ -186,7 +150,7 @@
 
     # Attempts.
 
-    def _attempt(self, pending: _Pending) -> None:
+    def _attempt(self, pending: PendingRequest) -> None:
         if pending.done:
             return
         now = self._loop.time()
@@ -217,7 +181,7 @@
         if not answered:
             pending.sending = sending
 
-    def _level(self, pending: _Pending, candidate: Candidate) -> int:
+    def _level(self, pending: PendingRequest, candidate: Candidate) -> int:
         """Return the rank below which a request would be refused on its way."""
         now = self._loop.time()
         levels = self._fleet.levels
@@ -226,7 +190,7 @@
             levels.level(pending.route.name, now),
         )
 
-    def _learn_level(self, pending: _Pending, reply: MeshReply) -> None:
+    def _learn_level(self, pending: PendingRequest, reply: MeshReply) -> None:
         """Remember the level below a route, and pass it on to the run above."""
         level = reply.below_level
         self._fleet.levels.follow(pending.route.name, level, self._loop.time())
@@ -234,7 +198,7 @@
         if parent is not None:
             parent.below_level = max(parent.below_level, level, reply.load.level)
 
-    def _wait_for_link(self, pending: _Pending, now: float) -> None:
+    def _wait_for_link(self, pending: PendingRequest, now: float) -> None:
         limit_s = pending.route.objective_s * LINK_WAIT_SHARE
         waited_s = now - pending.arrived_at
         if waited_s < limit_s and self._fleet.has_members(pending.pool):
@@ -242,7 +206,7 @@
         else:
             self._give_up(pending, pending.last.reason)
 
-    def _on_reply(self, pending: _Pending, reply: MeshReply) -> None:
+    def _on_reply(self, pending: PendingRequest, reply: MeshReply) -> None:
         if pending.done:
             return
         pending.sending = None
@@ -261,7 +225,7 @@
         else:
             self._give_up(pending, reply.reason)
 
-    def _resend(self, pending: _Pending, reply: MeshReply) -> bool:
+    def _resend(self, pending: PendingRequest, reply: MeshReply) -> bool:
         call = pending.call
         resend = resend_for(
             call.idempotent, reply.outcome, reply.reason, reply.status, reply.reached
@@ -292,13 +256,13 @@
 
     # Answers.
 
-    def _deliver(self, pending: _Pending, reply: MeshReply) -> None:
+    def _deliver(self, pending: PendingRequest, reply: MeshReply) -> None:
         if reply.status >= 300:
             self._log_failure(pending, reply.reason, reply.status)
         self._close(pending, Outcome.ANSWERED, reply.reason, reply.status < 300)
         pending.exchange.respond(reply.status, reply.headers, reply.body)
 
-    def _give_up(self, pending: _Pending, reason: Reason) -> None:
+    def _give_up(self, pending: PendingRequest, reason: Reason) -> None:
         """Answer that the request did not run, or that this is not known.
 
         It did not run only if every gate that it was sent to has said so.
@@ -337,18 +301,18 @@
         block = self._wire.refusal_headers(request_id, retry_s)
         exchange.respond(status, block, text.encode() + b"\n")
 
-    def _time_out(self, pending: _Pending) -> None:
+    def _time_out(self, pending: PendingRequest) -> None:
         if pending.done:
             return
         self._withdraw(pending)
         self._give_up(pending, Reason.DEADLINE)
 
-    def _withdraw(self, pending: _Pending) -> None:
+    def _withdraw(self, pending: PendingRequest) -> None:
         sending, pending.sending = pending.sending, None
         if sending is not None:
             self._fleet.cancel(sending)
 
-    def _on_gone(self, pending: _Pending) -> None:
+    def _on_gone(self, pending: PendingRequest) -> None:
         if pending.done:
             return
         self._withdraw(pending)
@@ -356,7 +320,7 @@
         self._close(pending, Outcome.UNKNOWN, Reason.CANCELLED, True)
 
     def _close(
-        self, pending: _Pending, outcome: Outcome, reason: Reason, good: bool
+        self, pending: PendingRequest, outcome: Outcome, reason: Reason, good: bool
     ) -> None:
         pending.done = True
         self.in_flight -= 1
@@ -367,7 +331,9 @@
         self.outcomes[(pending.route.name, outcome.value, reason.value)] += 1
         self.latency.add(pending.route.name, self._loop.time() - pending.arrived_at)
 
-    def _log_failure(self, pending: _Pending, reason: Reason, status: int) -> None:
+    def _log_failure(
+        self, pending: PendingRequest, reason: Reason, status: int
+    ) -> None:
         call = pending.call
         load = pending.last.load
         log.info(
@@ -388,23 +354,3 @@
             gate_queued=load.queued,
             gate_level=load.level,
         )
-
-
-def _rank(route: MeshRoute, request_id: bytes, parent: GateCall | None) -> int:
-    """Return the rank of a chain, which every hop of it keeps."""
-    if parent is not None:
-        return parent.call.rank
-    importance, _ = _standing(route, None)
-    return request_rank(importance, request_id.decode("latin-1"))
-
-
-def _standing(route: MeshRoute, parent: GateCall | None) -> tuple[int, int]:
-    """Return importance and depth of a request.
-
-    Calls of a run that has begun go before new requests, since its work would be lost
-    without them; among themselves both kinds keep the order of the caller's request.
-    """
-    if parent is None:
-        return CALLER_CLASSES - 1 - min(route.priority, CALLER_CLASSES - 1), 0
-    call = parent.call
-    return CALLER_CLASSES + call.importance % CALLER_CLASSES, call.depth + 1
--- a/dogwooddock/peers/links.py
+++ b/dogwooddock/peers/links.py
@@ -13,7 +13,8 @@
 from ..errors import PeerError
 from ..http1.sockets import tune_socket
 from ..mesh.calls import MeshCall, MeshReply
-from ..mesh.gate import Gate, GateCall
+from ..mesh.gate import Gate
+from ..mesh.gatecalls import GateCall
 from ..policy.outcomes import Outcome, Reason
 from .linkcodec import (
     Cancel,
