--- a/bench/run.py
+++ b/bench/run.py
@@ -4,7 +4,7 @@
 import sys
 import time
 
-SECTIONS = ("path", "claims", "faults", "control", "overload")
+SECTIONS = ("path", "mesh", "claims", "faults", "control", "overload")
 
 
 def main() -> int:
--- /dev/null
+++ b/bench/settingsfile.py
@@ -0,0 +1,109 @@
+"""Settings and configurations in the platform's format, for nodes on loopback."""
+
+__all__ = [
+    "PORTS_PER_NODE",
+    "free_ports",
+    "mesh_document",
+    "mesh_route",
+    "write_settings",
+]
+
+import json
+import socket
+from pathlib import Path
+from typing import Any
+
+Address = tuple[str, int]
+
+NAMES = ("outbound", "inbound", "ready", "control")
+PORTS_PER_NODE = 8
+
+
+def free_ports(count: int) -> int:
+    """Return the first of a run of ports that the system has free."""
+    while True:
+        with socket.socket() as first:
+            first.bind(("127.0.0.1", 0))
+            base = int(first.getsockname()[1])
+            if all(_is_free(base + offset) for offset in range(1, count)):
+                return base
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("0.0.0.0", port))
+        except (OSError, OverflowError):
+            return False
+    return True
+
+
+def mesh_route(
+    name: str, pool: str, prefix: str, kind: str, priority: int
+) -> dict[str, Any]:
+    """Return a route in the platform's format."""
+    spec = {
+        "host": "app.example",
+        "prefix": prefix,
+        "kind": kind,
+        "timeout": "1200ms",
+        "slo": "600ms",
+        "priority": priority,
+        "attempts": 2,
+        "service": pool,
+    }
+    return {"type": "routes", "metadata": {"name": name}, "spec": spec}
+
+
+def mesh_document(version: int, routes: list[dict[str, Any]]) -> bytes:
+    """Return a configuration in the platform's format."""
+    limits = {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 1 << 20,
+        "header_timeout": "3s",
+        "idle_timeout": "15s",
+    }
+    resources = [*routes, {"type": "limits", "metadata": {}, "spec": limits}]
+    return json.dumps({"version": f"r{version}", "resources": resources}).encode()
+
+
+def write_settings(
+    path: Path,
+    index: int,
+    host: str,
+    base: int,
+    target: Address,
+    pool: str,
+    store: Address,
+    **more: Any,
+) -> dict[str, Address]:
+    """Write a node's settings file and return the addresses that it listens on.
+
+    Args:
+        path: The file.
+        index: Number of the node.
+        host: Address of its VM.
+        base: First of its ports; the same on every VM.
+        target: Address of its target.
+        pool: Pool of its target.
+        store: Address of the store.
+        more: Fields that replace the usual ones.
+    """
+    ports = {name: (host, base + offset) for offset, name in enumerate(NAMES)}
+    settings = {
+        "node": f"node-{index}",
+        "ip": host,
+        "zone": f"zone-{'abc'[index % 3]}",
+        "listen": {name: f"{ip}:{port}" for name, (ip, port) in ports.items()},
+        "port_range": [base + len(NAMES), base + PORTS_PER_NODE - 1],
+        "seeds": [],
+        "limits": {"memory_mb": 300},
+        "heartbeat": "1500ms",
+        "bounds": ["drain=2s", "config=2s", "grace=6s"],
+        "app_addr": f"{target[0]}:{target[1]}",
+        "service": pool,
+        "provider": {"address": f"{store[0]}:{store[1]}"},
+        **more,
+    }
+    path.write_text(json.dumps(settings))
+    return ports
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -9,10 +9,8 @@
 
 import argparse
 import asyncio
-import json
 import os
 import signal
-import socket
 import sys
 import tempfile
 from collections import Counter
@@ -27,6 +25,13 @@
 
 from .mesh_standin import StoreStandIn, TargetMode, TargetStandIn, answer_body
 from .proxy import FaultyProxy, ProxyFaults
+from .settingsfile import (
+    PORTS_PER_NODE,
+    free_ports,
+    mesh_document,
+    mesh_route,
+    write_settings,
+)
 from .soakjudge import Attempt, SoakHistory, find_violations
 
 Address = tuple[str, int]
@@ -41,7 +46,6 @@
 REQUEST_GAP_S = 0.02
 DEADLINE_MS = 1500
 FAULT_GAP_S = 0.6
-PORTS_PER_NODE = 8
 
 
 @dataclass
@@ -114,26 +118,18 @@
     def _document(self) -> bytes:
         pool = "shop" if self.version % 2 else "stock"
         routes = [
-            _route("read", "shop", "/read/", "idempotent", 1),
-            _route("order", "shop", "/order/", "non_idempotent", 0),
-            _route("stock", "stock", "/stock/", "idempotent", 1),
-            _route("moving", pool, "/moving/", "idempotent", 1),
+            mesh_route("read", "shop", "/read/", "idempotent", 1),
+            mesh_route("order", "shop", "/order/", "non_idempotent", 0),
+            mesh_route("stock", "stock", "/stock/", "idempotent", 1),
+            mesh_route("moving", pool, "/moving/", "idempotent", 1),
         ]
-        limits = {
-            "max_header_bytes": 16384,
-            "max_body_bytes": 1 << 20,
-            "header_timeout": "3s",
-            "idle_timeout": "15s",
-        }
-        resources = [*routes, {"type": "limits", "metadata": {}, "spec": limits}]
-        body = {"version": f"r{self.version}", "resources": resources}
-        return json.dumps(body).encode()
+        return mesh_document(self.version, routes)
 
     async def start(self) -> None:
         """Start store, targets and nodes."""
         await self.store.start()
         await self.store.put("op", "config", self._document())
-        base = _free_ports(PORTS_PER_NODE)
+        base = free_ports(PORTS_PER_NODE)
         for index, pool in enumerate(POOLS):
             self.places.append(await self._place(index, pool, base))
         for place in self.places:
@@ -147,8 +143,26 @@
         await target.start(host)
         target_proxy = FaultyProxy(target.address)
         store_proxy = FaultyProxy(self.store.address)
-        names = ("outbound", "inbound", "ready", "control")
-        ports = {name: (host, base + offset) for offset, name in enumerate(names)}
+        settings = self.folder / f"node-{index}.json"
+        target.address = await target_proxy.start(host)
+        store = await store_proxy.start(host)
+        ports = write_settings(
+            settings,
+            index,
+            host,
+            base,
+            target.address,
+            pool,
+            store,
+            heartbeat=f"{HEARTBEAT_S}s",
+            bounds=[
+                f"drain={DRAIN_S}s",
+                f"config={CONFIG_S}s",
+                f"grace={GRACE_S}s",
+                "budget_ratio=0.2",
+                "budget_extra=48",
+            ],
+        )
         place = _Place(
             index,
             host,
@@ -156,39 +170,13 @@
             target,
             target_proxy,
             store_proxy,
-            self.folder / f"node-{index}.json",
+            settings,
         )
         target.checkin_address = ports["control"]
         target.caller_address = ports["outbound"]
-        target.address = await target_proxy.start(host)
-        store = await store_proxy.start(host)
-        self._write_settings(place, store, base)
         self.history.pools[target.target_id] = pool
         return place
 
-    def _write_settings(self, place: _Place, store: Address, base: int) -> None:
-        settings = {
-            "node": f"node-{place.index}",
-            "ip": place.host,
-            "zone": f"zone-{'abc'[place.index % 3]}",
-            "listen": {name: f"{h}:{p}" for name, (h, p) in place.ports.items()},
-            "port_range": [base + 4, base + PORTS_PER_NODE - 1],
-            "seeds": [],
-            "limits": {"memory_mb": 300},
-            "heartbeat": f"{HEARTBEAT_S}s",
-            "bounds": [
-                f"drain={DRAIN_S}s",
-                f"config={CONFIG_S}s",
-                f"grace={GRACE_S}s",
-                "budget_ratio=0.2",
-                "budget_extra=48",
-            ],
-            "app_addr": f"{place.target.address[0]}:{place.target.address[1]}",
-            "service": place.target.pool,
-            "provider": {"address": f"{store[0]}:{store[1]}"},
-        }
-        place.settings.write_text(json.dumps(settings))
-
     async def start_node(self, place: _Place) -> None:
         """Start the node's process."""
         log = open(self.folder / f"node-{place.index}.log", "ab")  # noqa: SIM115
@@ -459,39 +447,6 @@
         return SoakReport(self.seed, outcomes, violations, self.faults)
 
 
-def _route(name: str, pool: str, prefix: str, kind: str, rank: int) -> dict[str, Any]:
-    spec = {
-        "host": "app.example",
-        "prefix": prefix,
-        "kind": kind,
-        "timeout": "1200ms",
-        "slo": "600ms",
-        "priority": rank,
-        "attempts": 2,
-        "service": pool,
-    }
-    return {"type": "routes", "metadata": {"name": name}, "spec": spec}
-
-
-def _free_ports(count: int) -> int:
-    """Return the first of a run of ports that the system has free."""
-    while True:
-        with socket.socket() as first:
-            first.bind(("127.0.0.1", 0))
-            base = first.getsockname()[1]
-            if all(_is_free(base + offset) for offset in range(1, count)):
-                return base
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind(("0.0.0.0", port))
-        except (OSError, OverflowError):
-            return False
-    return True
-
-
 def run_soak(seed: int, seconds: float, folder: Path) -> SoakReport:
     """Play one seed; logs of the nodes go to the folder."""
     return asyncio.run(_Soak(seed, seconds, folder).run())
