Show with mutants of the product that the soak can fail

Change: bench/mutants, ten faults put into a copy of the sources; the tests check that each still fits.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bench.mesh_standin import Run
+from bench.mutants import MUTANTS, make_copy
 from bench.soak import run_soak
 from bench.soakjudge import Attempt, SoakHistory, find_violations
 
@@ -70,3 +71,8 @@
     found = find_violations(history, 2.0, 2.0)
     assert any("repeats for" in line for line in found)
     assert any("after the faults" in line for line in found)
+
+
+@pytest.mark.parametrize("mutant", MUTANTS, ids=lambda mutant: mutant.name)
+def test_mutants_fit_the_sources(mutant, tmp_path):
+    make_copy(mutant, tmp_path)
