--- a/spec/check.py
+++ b/spec/check.py
@@ -12,7 +12,7 @@
 import maude
 
 FOLDER = Path(__file__).resolve().parent
-FILES = ("keys", "tickets", "allowance", "mutants")
+FILES = ("keys", "tickets", "allowance", "mutants", "drains", "versions")
 
 
 @dataclass(frozen=True)
@@ -50,7 +50,48 @@
     )
 
 
+def _drain(heartbeats: int, crashes: int, outages: int, lies: int) -> str:
+    budget = f"budget({heartbeats}, {crashes}, {outages}, {lies})"
+    return (
+        "target(1, 1, up) node(0, 0, up, false) row(0, up) store(reachable) "
+        f"unacked(1) {budget}"
+    )
+
+
+def _versions(changes: int, documents: int) -> str:
+    budget = f"budget({changes}, {documents})"
+    return f"store(1) node(1, 0, 0) node(2, 0, 0) {budget}"
+
+
 MODELS = (
+    Model(
+        "DRAINS",
+        (_drain(2, 1, 1, 0), _drain(2, 1, 0, 1)),
+        (_drain(3, 2, 1, 0), _drain(3, 1, 2, 0), _drain(3, 2, 0, 2)),
+        (_drain(2, 1, 1, 0), _drain(2, 1, 0, 1)),
+        (Invariant("acknowledged-drain-binds", "C:Conf late"),),
+        (
+            "LATE-HEARTBEAT-REVIVES",
+            "SERVE-WITHOUT-CHECK",
+            "ACKNOWLEDGE-WHILE-SERVING",
+            "ACKNOWLEDGE-BEFORE-THE-ROW",
+            "FORGET-THE-ROW",
+        ),
+    ),
+    Model(
+        "VERSIONS",
+        (_versions(2, 3),),
+        (_versions(2, 4), _versions(3, 3)),
+        (_versions(2, 3),),
+        (
+            Invariant(
+                "never-goes-back",
+                "C:Conf node(I:Nat, V:Nat, H:Nat)",
+                "V:Nat < H:Nat = true",
+            ),
+        ),
+        ("ADOPT-WHATEVER-ARRIVES",),
+    ),
     Model(
         "KEYS",
         (_keys(0, 1, 0),),
