Make two mutants visible to the soak

The first broke only the gate, and the node's record still kept callers away; the second settled within the bound. Change: the first breaks record and gate, the second restores the older table for good.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -48,25 +48,27 @@
     ),
     Mutant(
         "drain-does-not-bind",
-        (("mesh/heartbeats.py", "self._gate.refuse_all()", "pass"),),
+        (
+            ("mesh/heartbeats.py", "self._gate.refuse_all()", "pass"),
+            (
+                "mesh/heartbeats.py",
+                "            beat.state,",
+                "            TargetState.READY,",
+            ),
+        ),
     ),
     Mutant(
         "configuration-goes-back",
         (
             (
                 "mesh/config.py",
-                "if self.table is not None and state.version <= self.version:",
-                "if self.table is not None and state.version == self.version:",
-            ),
-            (
-                "mesh/node.py",
-                "if version <= self.config.version:",
-                "if version == self.config.version:",
-            ),
-            (
-                "mesh/node.py",
-                "if pull.config_version < self.config.version:",
-                "if pull.config_version != self.config.version:",
+                "        previous = self.version\n",
+                "        previous = self.version\n"
+                "        if self.table is not None:\n"
+                "            import asyncio\n"
+                "            loop = asyncio.get_running_loop()\n"
+                "            older = self.table\n"
+                "            loop.call_later(2.5, setattr, self, 'table', older)\n",
             ),
         ),
     ),
