--- a/bench/soak.py
+++ b/bench/soak.py
@@ -9,7 +9,6 @@
 
 import argparse
 import asyncio
-import os
 import signal
 import sys
 import tempfile
@@ -23,24 +22,11 @@
 from dogwooddock.http1.client import ClientConnection, ConnectionPool, Lost
 from dogwooddock.http1.messages import Response, render_request
 
-from .mesh_standin import StoreStandIn, TargetMode, TargetStandIn, answer_body
+from .mesh_standin import TargetMode, TargetStandIn, answer_body
 from .proxy import FaultyProxy, ProxyFaults
-from .settingsfile import (
-    PORTS_PER_NODE,
-    free_ports,
-    mesh_document,
-    mesh_route,
-    write_settings,
-)
-from .soakjudge import Attempt, SoakHistory, find_violations
-
-Address = tuple[str, int]
-
-POOLS = ("shop", "shop", "shop", "stock", "stock", "stock")
-DRAIN_S = 2.0
-CONFIG_S = 2.0
-GRACE_S = 6.0
-HEARTBEAT_S = 0.5
+from .soakfleet import CONFIG_S, DRAIN_S, GRACE_S, Place, SoakFleet
+from .soakjudge import Attempt, find_violations
+
 RECOVER_S = 6.0
 CLIENTS_PER_NODE = 4
 REQUEST_GAP_S = 0.02
@@ -66,150 +52,13 @@
 
 
 @dataclass
-class _Place:
-    """One VM: a node as a process, its target, and the proxies around it."""
-
-    index: int
-    host: str
-    ports: dict[str, Address]
-    target: TargetStandIn
-    target_proxy: FaultyProxy
-    store_proxy: FaultyProxy
-    settings: Path
-    process: asyncio.subprocess.Process | None = None
-    wanted: bool = True
-    lifetime: int = 0
-    heartbeats: asyncio.Task[None] | None = None
-
-    @property
-    def running(self) -> bool:
-        """Report whether the node's process runs."""
-        return self.process is not None and self.process.returncode is None
-
-
-@dataclass
-class _Soak:
-    seed: int
-    seconds: float
-    folder: Path
-    rng: Random = field(init=False)
-    history: SoakHistory = field(default_factory=SoakHistory)
-    store: StoreStandIn = field(default_factory=StoreStandIn)
-    places: list[_Place] = field(default_factory=list)
+class _Soak(SoakFleet):
+    seconds: float = 10.0
     faults: list[str] = field(default_factory=list)
-    version: int = 1
-    tasks: set[asyncio.Task[Any]] = field(default_factory=set)
-    logs: list[Any] = field(default_factory=list)
-
-    def __post_init__(self) -> None:
-        self.rng = Random(self.seed)
-
-    def now(self) -> float:
-        return asyncio.get_running_loop().time()
-
-    def spawn(self, job: Awaitable[None]) -> asyncio.Task[None]:
-        task = asyncio.ensure_future(job)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-        return task
-
-    # Deployment.
-
-    def _document(self) -> bytes:
-        pool = "shop" if self.version % 2 else "stock"
-        routes = [
-            mesh_route("read", "shop", "/read/", "idempotent", 1),
-            mesh_route("order", "shop", "/order/", "non_idempotent", 0),
-            mesh_route("stock", "stock", "/stock/", "idempotent", 1),
-            mesh_route("moving", pool, "/moving/", "idempotent", 1),
-        ]
-        return mesh_document(self.version, routes)
-
-    async def start(self) -> None:
-        """Start store, targets and nodes."""
-        await self.store.start()
-        await self.store.put("op", "config", self._document())
-        base = free_ports(PORTS_PER_NODE)
-        for index, pool in enumerate(POOLS):
-            self.places.append(await self._place(index, pool, base))
-        for place in self.places:
-            await self.start_node(place)
-            place.heartbeats = self.spawn(self._check_in(place))
-
-    async def _place(self, index: int, pool: str, base: int) -> _Place:
-        host = f"127.{1 + self.seed % 200}.0.{index + 1}"
-        target = TargetStandIn(pool, slots=8, target_id=f"t{index}-0")
-        target.mode = TargetMode(work_s=0.02)
-        await target.start(host)
-        target_proxy = FaultyProxy(target.address)
-        store_proxy = FaultyProxy(self.store.address)
-        settings = self.folder / f"node-{index}.json"
-        target.address = await target_proxy.start(host)
-        store = await store_proxy.start(host)
-        ports = write_settings(
-            settings,
-            index,
-            host,
-            base,
-            target.address,
-            pool,
-            store,
-            heartbeat=f"{HEARTBEAT_S}s",
-            bounds=[
-                f"drain={DRAIN_S}s",
-                f"config={CONFIG_S}s",
-                f"grace={GRACE_S}s",
-                "budget_ratio=0.2",
-                "budget_extra=48",
-            ],
-        )
-        place = _Place(
-            index,
-            host,
-            ports,
-            target,
-            target_proxy,
-            store_proxy,
-            settings,
-        )
-        target.checkin_address = ports["control"]
-        target.caller_address = ports["outbound"]
-        self.history.pools[target.target_id] = pool
-        return place
-
-    async def start_node(self, place: _Place) -> None:
-        """Start the node's process."""
-        log = open(self.folder / f"node-{place.index}.log", "ab")  # noqa: SIM115
-        self.logs.append(log)
-        place.lifetime += 1
-        place.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "dogwooddock.platform",
-            stdout=log,
-            stderr=log,
-            env={**os.environ, "DOGWOODDOCK_NODE_FILE": str(place.settings)},
-        )
-
-    async def _check_in(self, place: _Place) -> None:
-        while True:
-            target = place.target
-            if target.state != "gone":
-                await self._send_heartbeat(place, target)
-            await asyncio.sleep(HEARTBEAT_S)
-
-    async def _send_heartbeat(self, place: _Place, target: TargetStandIn) -> None:
-        try:
-            async with asyncio.timeout(1.0):
-                status = await target.check_in()
-        except OSError:
-            return
-        if status == 200 and target.state == "draining":
-            self.history.note_drained(target.target_id, self.now())
 
     # Clients.
 
-    async def _client(self, place: _Place, number: int) -> None:
+    async def _client(self, place: Place, number: int) -> None:
         """Keep sending on one connection until it is gone."""
         rng = Random(self.seed * 1000 + place.index * 10 + number)
         conn: ClientConnection | None = None
@@ -255,7 +104,7 @@
 
     async def _play_faults(self) -> None:
         """Begin faults one after the other; they overlap."""
-        kinds: list[Callable[[_Place], Awaitable[None]]] = [
+        kinds: list[Callable[[Place], Awaitable[None]]] = [
             self._kill_node,
             self._stop_node,
             self._pause_node,
@@ -284,13 +133,13 @@
     async def _hold(self, least_s: float = 0.3, most_s: float = 2.0) -> None:
         await asyncio.sleep(self.rng.uniform(least_s, most_s))
 
-    def _signal(self, place: _Place, number: int) -> bool:
+    def _signal(self, place: Place, number: int) -> bool:
         if not place.running or place.process is None:
             return False
         place.process.send_signal(number)
         return True
 
-    async def _restart(self, place: _Place) -> None:
+    async def _restart(self, place: Place) -> None:
         assert place.process is not None
         try:
             async with asyncio.timeout(GRACE_S):
@@ -302,24 +151,24 @@
         await asyncio.sleep(0.2)
         await self.start_node(place)
 
-    async def _kill_node(self, place: _Place) -> None:
+    async def _kill_node(self, place: Place) -> None:
         if self._signal(place, signal.SIGKILL):
             self.history.disturbed(place.index, self.now())
             await self._restart(place)
 
-    async def _stop_node(self, place: _Place) -> None:
+    async def _stop_node(self, place: Place) -> None:
         if self._signal(place, signal.SIGTERM):
             self.history.disturbed(place.index, self.now())
             await self._restart(place)
 
-    async def _pause_node(self, place: _Place) -> None:
+    async def _pause_node(self, place: Place) -> None:
         if self._signal(place, signal.SIGSTOP):
             self.history.disturbed(place.index, self.now())
             await self._hold()
             self._signal(place, signal.SIGCONT)
             self.history.disturbed(place.index, self.now())
 
-    async def _reload_node(self, place: _Place) -> None:
+    async def _reload_node(self, place: Place) -> None:
         self._signal(place, signal.SIGHUP)
 
     async def _with_proxy(self, proxy: FaultyProxy, faults: ProxyFaults) -> None:
@@ -328,7 +177,7 @@
         proxy.faults = ProxyFaults()
         proxy.reset_all()
 
-    async def _cut_store(self, place: _Place) -> None:
+    async def _cut_store(self, place: Place) -> None:
         self.history.disturbed(place.index, self.now(), store=True)
         faults = ProxyFaults(silent=self.rng.random() < 0.5, refuse=True)
         place.store_proxy.reset_all()
@@ -342,45 +191,45 @@
         setattr(self.store.faults, name, type(value)())
         self.history.store_disturbed(self.now())
 
-    async def _slow_store(self, place: _Place) -> None:
+    async def _slow_store(self, place: Place) -> None:
         await self._store_fault("delay_s", 0.3)
 
-    async def _lose_store_answers(self, place: _Place) -> None:
+    async def _lose_store_answers(self, place: Place) -> None:
         await self._store_fault("lose_answers", True)
 
-    async def _refuse_store(self, place: _Place) -> None:
+    async def _refuse_store(self, place: Place) -> None:
         await self._store_fault("refuse", 503)
 
-    async def _forget_store(self, place: _Place) -> None:
+    async def _forget_store(self, place: Place) -> None:
         self.store.forget_history()
 
-    async def _reset_target(self, place: _Place) -> None:
+    async def _reset_target(self, place: Place) -> None:
         place.target_proxy.reset_all()
 
-    async def _delay_target(self, place: _Place) -> None:
+    async def _delay_target(self, place: Place) -> None:
         await self._with_proxy(place.target_proxy, ProxyFaults(delay_s=0.2))
 
-    async def _silence_target(self, place: _Place) -> None:
+    async def _silence_target(self, place: Place) -> None:
         one_way = self.rng.random() < 0.5
         faults = ProxyFaults(one_way=one_way, silent=not one_way)
         await self._with_proxy(place.target_proxy, faults)
 
-    async def _garble_target(self, place: _Place) -> None:
+    async def _garble_target(self, place: Place) -> None:
         kinds = ("cut", "extra", "late", "junk", "foreign", "unframed-reset")
         place.target.mode = TargetMode(work_s=0.02, garble=self.rng.choice(kinds))
         await self._hold()
         place.target.mode = TargetMode(work_s=0.02)
 
-    async def _crash_target(self, place: _Place) -> None:
+    async def _crash_target(self, place: Place) -> None:
         if place.target.state == "ready":
             await self._replace_target(place, 0.0)
 
-    async def _drain_target(self, place: _Place) -> None:
+    async def _drain_target(self, place: Place) -> None:
         if place.target.state == "ready":
             place.target.state = "draining"
             await self._replace_target(place, DRAIN_S + 2.0)
 
-    async def _replace_target(self, place: _Place, after_s: float) -> None:
+    async def _replace_target(self, place: Place, after_s: float) -> None:
         """Stop the target and start another lifetime at its address."""
         await asyncio.sleep(after_s)
         old = place.target
@@ -404,9 +253,9 @@
     def _next(self) -> int:
         return len(self.history.pools)
 
-    async def _change_config(self, place: _Place) -> None:
+    async def _change_config(self, place: Place) -> None:
         self.version += self.rng.randint(1, 3)
-        await self.store.put("op", "config", self._document())
+        await self.store.put("op", "config", self.document())
         pool = "shop" if self.version % 2 else "stock"
         self.history.note_config(self.version, pool, self.now())
 
@@ -449,7 +298,7 @@
 
 def run_soak(seed: int, seconds: float, folder: Path) -> SoakReport:
     """Play one seed; logs of the nodes go to the folder."""
-    return asyncio.run(_Soak(seed, seconds, folder).run())
+    return asyncio.run(_Soak(seed, folder, seconds=seconds).run())
 
 
 def main() -> int:
