Name expected versions in the project's own words

Cause: the platform's name for the rows that a transaction depends on stood outside platform/. Change: renamed; no change of behaviour.

--- a/bench/mesh_standin.py
+++ b/bench/mesh_standin.py
@@ -14,7 +14,7 @@
 from dogwooddock.http1.client import ConnectionPool
 from dogwooddock.http1.messages import Response, render_request
 from dogwooddock.http1.server import Exchange, HttpServer
-from dogwooddock.mesh.rows import Change, HistoryLost, MemoryRows, Precondition, Row
+from dogwooddock.mesh.rows import Change, ExpectedVersion, HistoryLost, MemoryRows, Row
 
 Address = tuple[str, int]
 
@@ -124,8 +124,8 @@
         return 200, {"rows": rows, "ver": page.version, "now": "0ms"}
 
     async def _transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
-        preconditions = [
-            Precondition(item["table"], item["part"], item["key"], item["ver"])
+        expected = [
+            ExpectedVersion(item["table"], item["part"], item["key"], item["ver"])
             for item in body["precondition"]
         ]
         changes = [
@@ -141,7 +141,7 @@
             Change(item["table"], item["part"], item["key"], None)
             for item in body["remove"]
         ]
-        result = await self.rows.transact(preconditions, changes)
+        result = await self.rows.transact(expected, changes)
         if not result.applied:
             return 412, {"rows": [_render_row(row) for row in result.rows]}
         return 200, {"ver": result.version, "now": "0ms"}
--- a/dogwooddock/mesh/announcer.py
+++ b/dogwooddock/mesh/announcer.py
@@ -16,7 +16,7 @@
     encode_record,
     record_key,
 )
-from .rows import Change, Precondition, Row, RowStore
+from .rows import Change, ExpectedVersion, Row, RowStore
 
 BACKOFF_FIRST_S = 0.1
 BACKOFF_MAX_S = 1.0
@@ -106,7 +106,7 @@
         version = self._version
         self._version = None
         result = await self._store.transact(
-            [Precondition(*self._place, version)],
+            [ExpectedVersion(*self._place, version)],
             [Change(*self._place, encode_record(record))],
         )
         if result.applied:
--- a/dogwooddock/mesh/rows.py
+++ b/dogwooddock/mesh/rows.py
@@ -2,9 +2,9 @@
 
 __all__ = [
     "Change",
+    "ExpectedVersion",
     "HistoryLost",
     "MemoryRows",
-    "Precondition",
     "Row",
     "RowPage",
     "RowStore",
@@ -58,7 +58,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Precondition:
+class ExpectedVersion:
     """Version that a row must have; 0 if it must not exist."""
 
     table: str
@@ -82,9 +82,9 @@
     """Whether a transaction was applied.
 
     Args:
-        applied: Whether every precondition held.
+        applied: Whether every expected version held.
         version: Version of the transaction, if applied.
-        rows: Present rows of the preconditions, if not applied.
+        rows: Present rows of those expected, if not applied.
     """
 
     applied: bool
@@ -119,9 +119,9 @@
 
     @abstractmethod
     async def transact(
-        self, preconditions: list[Precondition], changes: list[Change]
+        self, expected: list[ExpectedVersion], changes: list[Change]
     ) -> TransactionResult:
-        """Apply all changes if every precondition holds."""
+        """Apply all changes if every expected version holds."""
 
     @abstractmethod
     def close(self) -> None:
@@ -178,12 +178,12 @@
         return RowPage(tuple(sorted(rows, key=lambda row: row.version)), self.version)
 
     async def transact(
-        self, preconditions: list[Precondition], changes: list[Change]
+        self, expected: list[ExpectedVersion], changes: list[Change]
     ) -> TransactionResult:
-        """Apply all changes if every precondition holds."""
-        keys = [(item.table, item.part, item.key) for item in preconditions]
+        """Apply all changes if every expected version holds."""
+        keys = [(item.table, item.part, item.key) for item in expected]
         present = [self._rows.get(key) for key in keys]
-        for item, row in zip(preconditions, present, strict=True):
+        for item, row in zip(expected, present, strict=True):
             actual = 0 if row is None or row.removed else row.version
             if actual != item.version:
                 found = tuple(row for row in present if row and not row.removed)
--- a/dogwooddock/platform/store.py
+++ b/dogwooddock/platform/store.py
@@ -13,8 +13,8 @@
 from ..http1.messages import Response, render_request
 from ..mesh.rows import (
     Change,
+    ExpectedVersion,
     HistoryLost,
-    Precondition,
     Row,
     RowPage,
     RowStore,
@@ -95,9 +95,9 @@
         return RowPage(tuple(_row(entry) for entry in body["rows"]), int(body["ver"]))
 
     async def transact(
-        self, preconditions: list[Precondition], changes: list[Change]
+        self, expected: list[ExpectedVersion], changes: list[Change]
     ) -> TransactionResult:
-        """Apply all changes if every precondition holds."""
+        """Apply all changes if every expected version holds."""
         body = json.dumps(
             {
                 "precondition": [
@@ -107,7 +107,7 @@
                         "key": row.key,
                         "ver": row.version,
                     }
-                    for row in preconditions
+                    for row in expected
                 ],
                 "puts": [
                     {
