Split tickets and parts from the threaded ingress; drop an unread field

Change: callers/ticketdesk.py and callers/parts.py; the field is gone. Nothing that runs on the platform is touched.

--- a/dogwooddock/callers/ingress.py
+++ b/dogwooddock/callers/ingress.py
@@ -1,28 +1,24 @@
 """Ingress: takes a caller's request through the fleet and tells the outcome."""
 
-__all__ = ["Ingress", "IngressParts"]
+__all__ = ["Ingress"]
 
 import threading
-import time
-from collections.abc import Callable
 from dataclasses import dataclass, field
-from random import Random
-from typing import Protocol
 
 from ..errors import PeerError, PeerUnreachable
 from ..headers import NEXT_TICKET, OUTCOME, new_attempt_id
-from ..peers.wire.ttypes import Attempt, Header, KeyStatus, Reply
-from ..policy.allowance import EDGE_ALLOWANCE, AllowanceLedger
-from ..policy.levels import LEVEL_SCALE, LevelTable
+from ..peers.wire.ttypes import Attempt, Header, Reply
+from ..policy.levels import LEVEL_SCALE
 from ..policy.outcomes import Outcome, Reason
-from ..policy.quarantine import Quarantine, Standing, fingerprint
-from ..policy.retries import FREE_OF_WORK, RetryBudget, worth_retry
-from ..policy.selection import Candidate, Selector
+from ..policy.quarantine import Standing, fingerprint
+from ..policy.retries import FREE_OF_WORK, worth_retry
+from ..policy.selection import Candidate
 from ..policy.tickets import TICKET_PREFIX, parse_ticket
-from ..tables import MAX_IMPORTANCE, Route, Tables
+from ..tables import MAX_IMPORTANCE, Route
 from .chains import Chain, Chains
-from .keyed import KeyedRequests
 from .messages import CallerReply, CallerRequest, problem_reply
+from .parts import IngressParts
+from .ticketdesk import TicketDesk
 
 MAX_KEY_LENGTH = 200
 REPLY_GRACE_S = 0.1
@@ -30,48 +26,6 @@
 IN_FLIGHT_BASE_SHARE = 0.55
 
 
-class Fleet(Protocol):
-    """How an ingress reaches gates."""
-
-    def call(self, node_id: int, attempt: Attempt, timeout_s: float) -> Reply:
-        """Run an attempt at the gate of a node."""
-
-    def cancel(self, node_id: int, attempt_id: str) -> bool:
-        """Cancel an attempt; return True if it never ran and never will."""
-
-    def key_status(
-        self, holder: int, address: str, attempt_id: str, wait_s: float
-    ) -> KeyStatus:
-        """Ask the holder of a key about its attempt."""
-
-    def issue_tickets(self, node_id: int, count: int) -> list[str]:
-        """Return new tickets of a node."""
-
-    def cancel_ticket(self, node_id: int, ticket: str) -> str:
-        """Cancel a ticket and return its state."""
-
-
-@dataclass
-class IngressParts:
-    """What an ingress works with."""
-
-    tables: Callable[[], Tables]
-    fleet: Fleet
-    selector: Selector
-    ledger: AllowanceLedger
-    ledger_lock: threading.Lock
-    levels: LevelTable
-    budget: RetryBudget
-    quarantine: Quarantine
-    keyed: KeyedRequests | None
-    rng: Random
-    source: str
-    node_id: int
-    max_in_flight: int
-    edge_allowance: int = EDGE_ALLOWANCE
-    clock: Callable[[], float] = time.monotonic
-
-
 @dataclass(slots=True)
 class _Progress:
     tried: set[int] = field(default_factory=set)
@@ -92,6 +46,7 @@
         self.outcomes: dict[tuple[str, str, str], int] = {}
         self.retries = 0
         self.chains = Chains(parts.ledger, parts.ledger_lock, parts.edge_allowance)
+        self.tickets = TicketDesk(parts)
 
     def handle(self, req: CallerRequest) -> CallerReply:
         """Take one request to its outcome."""
@@ -164,7 +119,7 @@
     def _cancel_refused_ticket(
         self, req: CallerRequest, route: Route, reason: Reason
     ) -> CallerReply:
-        state = self.cancel_ticket(req.key)
+        state = self.tickets.cancel(req.key)
         if state == "cancelled":
             return self._finish(route.kind, Outcome.NOT_RUN, reason)
         return self._finish(route.kind, Outcome.UNKNOWN, Reason.TICKET_LOST)
@@ -430,7 +385,7 @@
         with self.lock:
             self.outcomes[key] = self.outcomes.get(key, 0) + 1
 
-    # Cancellation and tickets.
+    # Cancellation.
 
     def _cancel(self, progress: _Progress) -> None:
         progress.cancelled = True
@@ -441,39 +396,6 @@
             except PeerError:
                 pass
 
-    def issue_tickets(
-        self, caller: str, method: str, path: str, count: int
-    ) -> list[str]:
-        """Return tickets for a caller's requests, spread over the pool's nodes."""
-        route = self.parts.tables().match(caller, method, path)
-        if route is None or route.idempotent:
-            return []
-        candidates = self.parts.selector.candidates(route.pool)
-        tickets: list[str] = []
-        self.parts.rng.shuffle(candidates)
-        share = -(-count // max(1, len(candidates)))
-        for candidate in candidates:
-            wanted = min(share, count - len(tickets))
-            if wanted <= 0:
-                break
-            try:
-                fresh = self.parts.fleet.issue_tickets(candidate.node_id, wanted)
-            except PeerError:
-                continue
-            tickets.extend(fresh)
-        self.parts.rng.shuffle(tickets)
-        return tickets
-
-    def cancel_ticket(self, text: str) -> str:
-        """Cancel a ticket at its issuer and return its state."""
-        ticket = parse_ticket(text)
-        if ticket is None:
-            return "foreign"
-        try:
-            return self.parts.fleet.cancel_ticket(ticket.node_id, text)
-        except PeerError:
-            return "lost"
-
 
 def _worth_retry(route: Route, reply: Reply | None, reason: Reason) -> bool:
     if reply is None:
--- a/dogwooddock/callers/server.py
+++ b/dogwooddock/callers/server.py
@@ -302,7 +302,7 @@
         if name == "tickets" and method == "POST":
             return self._issue(headers, body)
         if name.startswith("tickets/") and method == "DELETE":
-            state = self.ingress.cancel_ticket(name[len("tickets/") :])
+            state = self.ingress.tickets.cancel(name[len("tickets/") :])
             return _json_reply(200, {"state": state})
         if name == "target" and self._target_control is not None:
             document = json.loads(body) if body else {}
@@ -314,7 +314,7 @@
         document = json.loads(body) if body else {}
         if not isinstance(document, dict):
             raise InvalidRequest("send a JSON object with method, path and count")
-        tickets = self.ingress.issue_tickets(
+        tickets = self.ingress.tickets.issue(
             self._caller(headers),
             str(document.get("method", "POST")),
             str(document.get("path", "/")),
--- a/dogwooddock/node.py
+++ b/dogwooddock/node.py
@@ -11,8 +11,9 @@
 
 import structlog
 
-from .callers.ingress import Ingress, IngressParts
+from .callers.ingress import Ingress
 from .callers.keyed import KeyedRequests
+from .callers.parts import IngressParts
 from .callers.server import CallerServer, ServerLimits
 from .callers.watcher import DepartureWatcher
 from .config.store import ConfigStore
--- a/dogwooddock/policy/allowance.py
+++ b/dogwooddock/policy/allowance.py
@@ -16,7 +16,6 @@
         importance: Importance of the client request.
         depth: Calls above the target in the chain.
         deadline: Monotonic deadline in seconds.
-        parent_attempt: Attempt that the target is working on.
         rank: Rank of the client request, in hundredths of a class.
         downstream_s: Time that the target spent waiting for its own calls.
         downstream_level: Highest admission level met below, in hundredths.
@@ -28,7 +27,6 @@
     importance: int
     depth: int
     deadline: float
-    parent_attempt: str
     rank: int = 0
     downstream_s: float = 0.0
     downstream_level: int = 0
@@ -62,13 +60,12 @@
         importance: int,
         depth: int,
         deadline: float,
-        attempt_id: str,
         rank: int = 0,
     ) -> ChainEntry:
         """Record a chain whose attempt is about to be dispatched."""
         entry = self._entries.get(trace_id)
         if entry is None:
-            entry = ChainEntry(allowance, importance, depth, deadline, attempt_id, rank)
+            entry = ChainEntry(allowance, importance, depth, deadline, rank)
             self._entries[trace_id] = entry
             return entry
         entry.available += allowance
--- a/dogwooddock/targets/gate.py
+++ b/dogwooddock/targets/gate.py
@@ -302,7 +302,6 @@
                 attempt.importance,
                 attempt.depth,
                 deadline,
-                attempt.attempt_id,
                 attempt.rank or 0,
             )
         started = parts.clock()
--- a/tests/test_allowance.py
+++ b/tests/test_allowance.py
@@ -16,7 +16,7 @@
         return allowance
     ledger = ledgers[depth]
     trace = f"trace-{counts['calls']}"
-    ledger.open(trace, allowance, 5, depth, 10.0, "a")
+    ledger.open(trace, allowance, 5, depth, 10.0)
     tries = 0
     while True:
         borrowed = ledger.borrow(trace)
@@ -54,7 +54,7 @@
 @pytest.mark.parametrize(("held", "lent"), [(0, 0), (1, 1), (2, 1), (3, 2), (5, 2)])
 def test_borrow_lends_half(held, lent):
     ledger = AllowanceLedger()
-    ledger.open("t", held, 5, 0, 10.0, "a")
+    ledger.open("t", held, 5, 0, 10.0)
     assert ledger.borrow("t") == lent
     assert ledger.find("t").available == held - lent
 
