Drop an unused method; make taking a log line's place a call

Cause: read as a newcomer: MemberTable.forget had no caller, and a property of the log writer took a token each time it was read. Change: removed and renamed; no change of behaviour.

--- a/dogwooddock/logs.py
+++ b/dogwooddock/logs.py
@@ -40,9 +40,8 @@
         self._refilled_at = time.monotonic()
         self.left_out = 0
 
-    @property
-    def open_for(self) -> bool:
-        """Report whether a line may be written now, and take its place."""
+    def admit(self) -> bool:
+        """Take the place of one line; return whether there was one."""
         now = time.monotonic()
         earned = (now - self._refilled_at) * self._rate
         self._refilled_at = now
@@ -77,7 +76,7 @@
     def __call__(
         self, logger: object, name: str, event: structlog.typing.EventDict
     ) -> structlog.typing.EventDict:
-        if not self._writer.open_for:
+        if not self._writer.admit():
             raise structlog.DropEvent
         return event
 
--- a/dogwooddock/mesh/members.py
+++ b/dogwooddock/mesh/members.py
@@ -54,9 +54,3 @@
             for record in self._records.values()
             if record.pool == pool and record.state is TargetState.READY
         ]
-
-    def forget(self, address: Address, version: int) -> None:
-        """Drop the record of a node whose row was removed."""
-        held = self._records.pop(address, None)
-        if held is not None:
-            self._on_change(held.pool)
--- a/tests/test_mesh_operators.py
+++ b/tests/test_mesh_operators.py
@@ -80,7 +80,7 @@
     reader, writer = os.pipe()
     try:
         bounded = BoundedWriter(writer, lines_per_s=0.0, burst=3)
-        written = sum(bounded.open_for for _ in range(10))
+        written = sum(bounded.admit() for _ in range(10))
         assert written == 3
         assert bounded.left_out == 7
         bounded.write("event=next\n")
