Make the mutant of a lost store visible to the soak

Ruled out: muting the pull on versions alone (not caught either; the update also comes with the members). Change: the mutant ends the follower and ignores documents of peers.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -125,7 +125,10 @@
     ),
     Mutant(
         "store-loss-is-final",
-        (("mesh/follower.py", "await self._back_off(exc)", "return"),),
+        (
+            ("mesh/follower.py", "await self._back_off(exc)", "return"),
+            ("mesh/node.py", "if update.document:", "if update is None:"),
+        ),
     ),
 )
 
