Fade admission levels by halves once nothing refreshes them

Ruled out: that the gate that is back first raises its level too much.

Change: after its hold a level fades by half every 0.2 s. The node's HTTP servers stand in mesh/listeners.py, the gate's connections in mesh/reach.py; the wait before a stopping node closes follows the drain bound of the settings; what nothing read is gone (heartbeat and memory figures in the environment, counters without a reader), and metrics show the calls to the store and the connections opened to the target.

What is left is the rush on cold targets.

--- a/bench/mesh_standin.py
+++ b/bench/mesh_standin.py
@@ -164,6 +164,7 @@
         calls: Hosts and paths that each run calls at the local node.
         call_gap_s: Time before each of these calls, in seconds.
         late_s: Delay of a second answer, in seconds.
+        forget_after_s: Rest after which a connection is reset by the next request.
     """
 
     work_s: float = 0.0
@@ -174,6 +175,7 @@
     calls: tuple[tuple[str, str], ...] = ()
     call_gap_s: float = 0.0
     late_s: float = 0.02
+    forget_after_s: float = float("inf")
 
 
 @dataclass
@@ -212,6 +214,7 @@
     caller_address: Address = ("", 0)
     _sequence: int = 0
     _busy: int = 0
+    _answered_at: dict[int, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self._server = HttpServer(self._handle)
@@ -275,6 +278,10 @@
             exchange.respond(200 if healthy else 503, block, b"")
             return
         self.arrivals += 1
+        rested_since = self._answered_at.get(exchange.conn_id, time.monotonic())
+        if time.monotonic() - rested_since > self.mode.forget_after_s:
+            exchange.write_raw(b"", reset=True)
+            return
         fields = request.fields
         request_id = fields[b"dogwooddock-request-id"].decode()
         if fields.get(b"dogwooddock-expect-instance", b"").decode() != self.target_id:
@@ -339,6 +346,7 @@
         return block.encode()
 
     def _answer(self, exchange: Exchange, request_id: str, status: int) -> None:
+        self._answered_at[exchange.conn_id] = time.monotonic()
         body = answer_body(request_id)
         block = self._block(request_id, stamp=True)
         garble = self.mode.garble
--- a/dogwooddock/http1/client.py
+++ b/dogwooddock/http1/client.py
@@ -202,7 +202,6 @@
 
     def __init__(self, address: tuple[str, int]):
         self.address = address
-        self.opened = 0
         self._idle: list[ClientConnection] = []
 
     def take(self, max_idle_s: float) -> ClientConnection | None:
@@ -232,7 +231,6 @@
             TimeoutError: It did not answer in time.
         """
         loop = asyncio.get_running_loop()
-        self.opened += 1
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             _, conn = await loop.create_connection(ClientConnection, *self.address)
         return conn
--- a/dogwooddock/http1/server.py
+++ b/dogwooddock/http1/server.py
@@ -70,6 +70,11 @@
         """Report whether the client has left."""
         return self._conn.closed
 
+    @property
+    def conn_id(self) -> int:
+        """Return a number of the connection, the same for all its requests."""
+        return id(self._conn)
+
     @property
     def peer_host(self) -> str:
         """Return the address that the request came from."""
--- a/dogwooddock/mesh/environment.py
+++ b/dogwooddock/mesh/environment.py
@@ -14,9 +14,6 @@
     Args:
         drain_s: Time after which a leaving target gets no more requests.
         grace_s: Time between SIGTERM and SIGKILL.
-        config_s: Time in which a configuration is in force.
-        ack_s: Time in which a leaving target is acknowledged.
-        stability_s: Time after a fault until timed promises hold again.
         retry_window_s: Window of the retry budget.
         retry_ratio: Retries allowed for each request in the window.
         retry_extra: Retries allowed besides, for the whole fleet.
@@ -24,9 +21,6 @@
 
     drain_s: float = 2.0
     grace_s: float = 6.0
-    config_s: float = 2.0
-    ack_s: float = 4.0
-    stability_s: float = 3.0
     retry_window_s: float = 10.0
     retry_ratio: float = 0.2
     retry_extra: float = 40.0
@@ -48,8 +42,6 @@
         peer_listen: Address for links from other nodes.
         contacts: Peer addresses of a few other nodes; they may be down.
         store: Address of the platform's store.
-        heartbeat_s: Period of the target's heartbeats, in seconds.
-        memory_mb: Memory that the process may use, in MB.
         bounds: Promises of the deployment.
         operator_listen: Address for metrics and the state dump, or None.
     """
@@ -65,7 +57,5 @@
     peer_listen: Address
     contacts: tuple[Address, ...]
     store: Address
-    heartbeat_s: float
-    memory_mb: float
     bounds: Bounds
     operator_listen: Address | None = None
--- a/dogwooddock/mesh/gate.py
+++ b/dogwooddock/mesh/gate.py
@@ -8,6 +8,7 @@
 __all__ = ["Gate"]
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 
 import structlog
@@ -20,16 +21,13 @@
 from ..policy.outcomes import Outcome, Reason
 from ..policy.quarantine import Quarantine, Standing
 from .calls import GateLoad, MeshCall, MeshReply
-from .gatecalls import GateCall, GateCounts, GateTarget, Stage
+from .gatecalls import GateCall, GateTarget, Stage
+from .reach import TargetReach
 from .wireformat import HeaderFormat
 
 SWEEP_PERIOD_S = 0.01
 ANSWER_SLACK_S = 0.08
 LEAST_TIME_S = 0.004
-REUSE_IDLE_S = 4.0
-REUSE_IDLE_UNREPEATABLE_S = 1.0
-DOWN_RETRY_FIRST_S = 0.1
-DOWN_RETRY_MAX_S = 1.0
 LEAST_RUN_SHARE = 0.5
 LATE_START_SHARE = 0.15
 INITIAL_SLOTS = 1
@@ -57,19 +55,15 @@
         self._loop = asyncio.get_running_loop()
         self._wire = wire
         self._quarantine = quarantine
-        self._on_target_lost = on_target_lost
         self._limit = StaticLimit(INITIAL_SLOTS)
         self.admission = Admission(self._limit, INITIAL_SLOTS)
         self._target: GateTarget | None = None
-        self._pool: ConnectionPool | None = None
+        self.reach = TargetReach(on_target_lost)
         self._waiting: dict[QueuedCall, GateCall] = {}
         self._running: dict[bytes, GateCall] = {}
         self._sweeping = False
-        self._down_until = 0.0
-        self._down_s = DOWN_RETRY_FIRST_S
-        self._suspects: list[str] = []
         self.stopping = False
-        self.counts = GateCounts()
+        self.outcomes: Counter[tuple[str, str]] = Counter()
 
     # Target.
 
@@ -94,10 +88,7 @@
         if held == target:
             return
         if held is None or held.target_id != target.target_id:
-            if self._pool is not None:
-                self._pool.close()
-            self._pool = ConnectionPool(target.address)
-            self._down_until = 0.0
+            self.reach.point_at(target.address)
         self._target = target
         self._limit.resize(1, target.slots)
         self.admission.capacity = target.slots
@@ -117,7 +108,7 @@
         """Return the present load."""
         now = self._loop.time()
         admission = self.admission
-        usable = self.accepting and now >= self._down_until
+        usable = self.accepting and not self.reach.down
         return GateLoad(
             self._limit.value if usable else 0,
             admission.in_flight,
@@ -173,7 +164,7 @@
             return Reason.DRAINING
         if call.target_id != target.target_id:
             return Reason.WRONG_TARGET
-        if now < self._down_until:
+        if self.reach.down:
             return Reason.TARGET_UNREACHABLE
         if self._quarantine.standing(now, call.fingerprint) is Standing.QUARANTINED:
             return Reason.QUARANTINED
@@ -190,7 +181,7 @@
         gate_call.stage = Stage.FINISHED
         if gate_call.timer is not None:
             gate_call.timer.cancel()
-        self.counts.outcomes[(reply.outcome.value, reply.reason.value)] += 1
+        self.outcomes[(reply.outcome.value, reply.reason.value)] += 1
         reply.load = self.load()
         reply.below_level = gate_call.below_level
         gate_call.done(reply)
@@ -227,10 +218,8 @@
     # Target side.
 
     def _dispatch(self, gate_call: GateCall) -> None:
-        pool = self._pool
-        assert pool is not None
-        idempotent = gate_call.call.idempotent
-        conn = pool.take(REUSE_IDLE_S if idempotent else REUSE_IDLE_UNREPEATABLE_S)
+        pool = self.reach.pool
+        conn = self.reach.take(gate_call.call.idempotent)
         if conn is not None:
             self._send(gate_call, pool, conn)
             return
@@ -239,13 +228,12 @@
 
     async def _connect(self, gate_call: GateCall, pool: ConnectionPool) -> None:
         try:
-            conn = await pool.open()
-        except OSError as exc:
-            self._on_unreachable(exc)
+            conn = await self.reach.open(pool)
+        except OSError:
+            self._refuse_waiting(Reason.TARGET_UNREACHABLE)
             self._release(gate_call)
             self._refuse(gate_call, Reason.TARGET_UNREACHABLE)
             return
-        self._down_s = DOWN_RETRY_FIRST_S
         if gate_call.finished or self._stale(gate_call):
             pool.give_back(conn)
             self._release(gate_call)
@@ -258,17 +246,6 @@
         target = self._target
         return target is None or target.target_id != gate_call.call.target_id
 
-    def _on_unreachable(self, exc: OSError) -> None:
-        now = self._loop.time()
-        if now >= self._down_until:
-            log.warning("target_unreachable", error=repr(exc))
-            self._down_until = now + self._down_s
-            self._down_s = min(DOWN_RETRY_MAX_S, self._down_s * 2)
-        if isinstance(exc, ConnectionRefusedError) and self._suspects:
-            suspects, self._suspects = self._suspects, []
-            self._on_target_lost(suspects)
-        self._refuse_waiting(Reason.TARGET_UNREACHABLE)
-
     def _send(
         self, gate_call: GateCall, pool: ConnectionPool, conn: ClientConnection
     ) -> None:
@@ -288,7 +265,6 @@
                 call.deadline + ANSWER_SLACK_S, self._time_out, gate_call
             )
         block = call.headers + self._wire.target_headers(call, remaining_s)
-        self.counts.sent += 1
         fresh = not conn.reused
         self._running[call.request_id] = gate_call
         conn.send(
@@ -352,8 +328,7 @@
             began=lost.began,
         )
         if lost.reset:
-            self._suspects.append(call.fingerprint)
-            del self._suspects[:-100]
+            self.reach.suspect(call.fingerprint)
         self._release(gate_call, failed=True)
         reason = Reason.TARGET_LOST if lost.reset else Reason.TARGET_FAILED
         self._finish(gate_call, MeshReply(Outcome.UNKNOWN, reason, reached=True))
@@ -398,13 +373,3 @@
         gate_call.stage = Stage.FINISHED
         if gate_call.timer is not None:
             gate_call.timer.cancel()
-
-    def trim(self) -> None:
-        """Close connections that the target may be about to close."""
-        if self._pool is not None:
-            self._pool.trim()
-
-    def close(self) -> None:
-        """Close idle connections."""
-        if self._pool is not None:
-            self._pool.close()
--- a/dogwooddock/mesh/gatecalls.py
+++ b/dogwooddock/mesh/gatecalls.py
@@ -1,11 +1,10 @@
 """What a gate keeps of its calls and of its target."""
 
-__all__ = ["GateCall", "GateCounts", "GateTarget", "Stage"]
+__all__ = ["GateCall", "GateTarget", "Stage"]
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
 from ..http1.client import ClientConnection
@@ -57,11 +56,3 @@
     target_id: str
     address: tuple[str, int]
     slots: int
-
-
-@dataclass
-class GateCounts:
-    """Totals since the start."""
-
-    outcomes: Counter[tuple[str, str]] = field(default_factory=Counter)
-    sent: int = 0
--- /dev/null
+++ b/dogwooddock/mesh/listeners.py
@@ -0,0 +1,125 @@
+"""The HTTP servers of a node: callers, probes, the target's heartbeats, operators."""
+
+__all__ = ["Listeners"]
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import structlog
+
+from ..errors import DogwooddockError
+from ..http1.messages import Request
+from ..http1.server import Exchange, HttpServer
+from ..policy.lifetimes import Heartbeat
+from .environment import NodeEnvironment
+from .heartbeats import TargetWatch
+from .ingress import Ingress
+from .metrics import dump_state, render_metrics
+
+if TYPE_CHECKING:
+    from .node import MeshNode
+
+ACK_POLL_S = 0.02
+ACK_WAIT_S = 0.7
+
+log = structlog.get_logger()
+
+
+class Listeners:
+    """Answer on every address of a node.
+
+    Args:
+        ingress: Takes the requests of callers and of the local target.
+        watch: Takes what the local target says of itself.
+        ready_path: Path of the readiness probe.
+        read_heartbeat: Reads a message of the local target: a heartbeat, or the
+            identity, start and sequence of one that leaves.
+        node: What probes and operators ask about.
+    """
+
+    def __init__(
+        self,
+        ingress: Ingress,
+        watch: TargetWatch,
+        ready_path: bytes,
+        read_heartbeat: Callable[[Request], Heartbeat | tuple[str, int, int]],
+        node: "MeshNode",
+    ):
+        self._loop = asyncio.get_running_loop()
+        self._watch = watch
+        self._ready_path = ready_path
+        self._read_heartbeat = read_heartbeat
+        self._node = node
+        self.callers = HttpServer(ingress.handle)
+        self._probes = HttpServer(self._on_probe)
+        self._heartbeats = HttpServer(self._on_heartbeat)
+        self._operators = HttpServer(self._on_operator)
+
+    async def start(self, env: NodeEnvironment) -> None:
+        """Listen, for callers last."""
+        await self._heartbeats.start(env.checkin_listen)
+        await self._probes.start(env.ready_listen)
+        await self.callers.start(env.caller_listen)
+        if env.operator_listen is not None:
+            await self._operators.start(env.operator_listen)
+
+    @property
+    def servers(self) -> tuple[HttpServer, ...]:
+        """Return every HTTP server of the node."""
+        return self.callers, self._probes, self._heartbeats, self._operators
+
+    def stop(self) -> None:
+        """Stop every server."""
+        for server in self.servers:
+            server.stop()
+
+    def _on_probe(self, exchange: Exchange) -> None:
+        path = exchange.request.path
+        if path == self._ready_path:
+            exchange.respond(200 if self._node.ready else 503, b"", b"")
+        else:
+            exchange.respond(404, b"", b"")
+
+    def _on_operator(self, exchange: Exchange) -> None:
+        path = exchange.request.path
+        if path == b"/metrics":
+            body = render_metrics(self._node)
+            exchange.respond(200, b"Content-Type: text/plain\r\n", body)
+        elif path == b"/state":
+            body = json.dumps(dump_state(self._node), indent=1).encode()
+            exchange.respond(200, b"Content-Type: application/json\r\n", body)
+        else:
+            exchange.respond(404, b"", b"ask for /metrics or /state\n")
+
+    def _on_heartbeat(self, exchange: Exchange) -> None:
+        try:
+            message = self._read_heartbeat(exchange.request)
+        except DogwooddockError as exc:
+            log.warning("heartbeat_refused", error=str(exc))
+            exchange.respond(400, b"", b"")
+            return
+        if isinstance(message, Heartbeat):
+            acknowledged = self._watch.on_heartbeat(message)
+        else:
+            acknowledged = self._watch.on_leave(*message)
+        if acknowledged:
+            self._acknowledge(exchange)
+        elif self._watch.drain_pending:
+            self._loop.create_task(self._acknowledge_later(exchange))
+        else:
+            exchange.respond(503, b"", b"")
+
+    def _acknowledge(self, exchange: Exchange) -> None:
+        exchange.respond(200, b"Content-Type: application/json\r\n", b"{}")
+
+    async def _acknowledge_later(self, exchange: Exchange) -> None:
+        """Acknowledge a drain once it is in the store, or refuse for now."""
+        deadline = self._loop.time() + ACK_WAIT_S
+        while self._loop.time() < deadline:
+            await asyncio.sleep(ACK_POLL_S)
+            if not self._watch.drain_pending:
+                self._acknowledge(exchange)
+                return
+        exchange.respond(503, b"", b"")
--- a/dogwooddock/mesh/metrics.py
+++ b/dogwooddock/mesh/metrics.py
@@ -90,7 +90,7 @@
     calls = Counter(
         "dogwooddock_gate_calls_total", "Calls at the gate.", registry=registry
     )
-    for (outcome, reason), count in node.gate.counts.outcomes.items():
+    for (outcome, reason), count in node.gate.outcomes.items():
         calls.set({"outcome": outcome, "reason": reason}, count)
     load = node.gate.load()
     values = {
@@ -102,6 +102,8 @@
         "config_version": node.config.version,
         "members": len(node.fleet.members),
         "quarantined": len(node.quarantine),
+        "target_connections": node.gate.reach.opened,
+        "store_calls": node.store.calls,
     }
     for name, value in values.items():
         gauge = Gauge(f"dogwooddock_{name}", f"Present {name}.", registry=registry)
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import gc
-import json
 import signal
 import time
 from collections.abc import Awaitable, Callable
@@ -15,7 +14,6 @@
 
 from ..errors import DogwooddockError
 from ..http1.messages import Request
-from ..http1.server import Exchange, HttpServer
 from ..peers.linkcodec import Frame, Marks, Probe, Pull, Push
 from ..peers.links import Link, LinkServer, PeerState
 from ..policy.lifetimes import Heartbeat
@@ -30,7 +28,7 @@
 from .gate import Gate
 from .heartbeats import TargetWatch
 from .ingress import Ingress
-from .metrics import dump_state, render_metrics
+from .listeners import Listeners
 from .recordrows import MEMBERS_TABLE, MalformedRecord, decode_record
 from .routing import DesiredState
 from .rows import Row, RowStore
@@ -38,12 +36,11 @@
 
 RETRY_SHARE = 0.8
 MOST_RETRY_TOKENS = 4.0
-DRAIN_LISTEN_S = 2.6
+DRAIN_LISTEN_MARGIN_S = 0.1
+PULL_AGAIN_S = 0.2
 EXIT_MARGIN_S = 0.6
 HOUSEKEEPING_S = 1.0
 JOB_RESTART_S = 1.0
-ACK_POLL_S = 0.02
-ACK_WAIT_S = 0.7
 GC_THRESHOLD = 50_000
 
 log = structlog.get_logger()
@@ -89,7 +86,8 @@
         self._parts = parts
         self._loop = asyncio.get_running_loop()
         self._tasks: list[asyncio.Task[None]] = []
-        self._pulled: dict[str, float] = {}
+        self._pulled_version = 0
+        self._pulled_at = 0.0
         self._stopping = asyncio.Event()
         self.node_id = node_id_of(env.peer_listen)
         self.quarantine = Quarantine()
@@ -118,10 +116,9 @@
             self._health_path,
             self._on_own_record,
         )
-        self.callers = HttpServer(self.ingress.handle)
-        self.probes = HttpServer(self._on_probe)
-        self.heartbeats = HttpServer(self._on_heartbeat)
-        self.operators = HttpServer(self._on_operator)
+        self.listeners = Listeners(
+            self.ingress, self.watch, parts.ready_path, parts.read_heartbeat, self
+        )
         self.links = LinkServer(self.gate, self)
         self._rng = rng
 
@@ -140,11 +137,7 @@
         """Listen and begin to follow the store."""
         env = self.env
         await self.links.start(env.peer_listen)
-        await self.heartbeats.start(env.checkin_listen)
-        await self.probes.start(env.ready_listen)
-        await self.callers.start(env.caller_listen)
-        if env.operator_listen is not None:
-            await self.operators.start(env.operator_listen)
+        await self.listeners.start(env)
         store = self._parts.store
         table, _ = self._parts.config_place
         followers = (
@@ -164,35 +157,32 @@
     async def stop(self) -> None:
         """Refuse new work at the gate, finish what is in flight and stop."""
         started = time.monotonic()
-        deadline = started + self.env.bounds.grace_s - EXIT_MARGIN_S
+        bounds = self.env.bounds
+        deadline = started + bounds.grace_s - EXIT_MARGIN_S
+        listen_until = started + bounds.drain_s + DRAIN_LISTEN_MARGIN_S
         log.info("node_draining", in_flight=self.ingress.in_flight)
         self.gate.stopping = True
-        self.callers.draining = True
+        callers = self.listeners.callers
+        callers.draining = True
         self.links.broadcast(self.probe(reply=True))
         while time.monotonic() < deadline:
             await asyncio.sleep(0.02)
-            if self.gate.busy or time.monotonic() - started < DRAIN_LISTEN_S:
+            if self.gate.busy or time.monotonic() < listen_until:
                 continue  # The target's runs may still need calls of their own.
-            if not self.callers.closing_idle:
-                self.callers.close_idle()
-                self.callers.stop_listening()
+            if not callers.closing_idle:
+                callers.close_idle()
+                callers.stop_listening()
             if not self.ingress.in_flight:
                 break
-        for server in self.servers:
-            server.stop()
+        self.listeners.stop()
         for task in self._tasks:
             task.cancel()
         self.links.stop()
         self.fleet.close()
-        self.gate.close()
+        self.gate.reach.close()
         self._parts.store.close()
         log.info("node_stopped", in_flight=self.ingress.in_flight)
 
-    @property
-    def servers(self) -> tuple[HttpServer, ...]:
-        """Return every HTTP server of the node."""
-        return self.callers, self.probes, self.heartbeats, self.operators
-
     def reload(self) -> None:
         """Take up changed settings; faulty ones leave the old ones in force.
 
@@ -216,7 +206,7 @@
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
-            self.gate.trim()
+            self.gate.reach.trim()
             self._share_budget()
             if self._parts.settings_changed():
                 self.reload()
@@ -227,62 +217,16 @@
         share = self.env.bounds.retry_extra * RETRY_SHARE / nodes
         self.budget.max_tokens = min(MOST_RETRY_TOKENS, max(1.0, share))
 
-    # Servers.
+    @property
+    def store(self) -> RowStore:
+        """Return the platform's store."""
+        return self._parts.store
 
     @property
     def ready(self) -> bool:
         """Report whether callers may send requests here."""
         return self.config.table is not None and not self._stopping.is_set()
 
-    def _on_probe(self, exchange: Exchange) -> None:
-        path = exchange.request.path
-        if path == self._parts.ready_path:
-            exchange.respond(200 if self.ready else 503, b"", b"")
-        else:
-            exchange.respond(404, b"", b"")
-
-    def _on_operator(self, exchange: Exchange) -> None:
-        path = exchange.request.path
-        if path == b"/metrics":
-            body = render_metrics(self)
-            exchange.respond(200, b"Content-Type: text/plain\r\n", body)
-        elif path == b"/state":
-            body = json.dumps(dump_state(self), indent=1).encode()
-            exchange.respond(200, b"Content-Type: application/json\r\n", body)
-        else:
-            exchange.respond(404, b"", b"ask for /metrics or /state\n")
-
-    def _on_heartbeat(self, exchange: Exchange) -> None:
-        try:
-            message = self._parts.read_heartbeat(exchange.request)
-        except DogwooddockError as exc:
-            log.warning("heartbeat_refused", error=str(exc))
-            exchange.respond(400, b"", b"")
-            return
-        if isinstance(message, Heartbeat):
-            acknowledged = self.watch.on_heartbeat(message)
-        else:
-            acknowledged = self.watch.on_leave(*message)
-        if acknowledged:
-            self._acknowledge(exchange)
-        elif self.watch.drain_pending:
-            self._loop.create_task(self._acknowledge_later(exchange))
-        else:
-            exchange.respond(503, b"", b"")
-
-    def _acknowledge(self, exchange: Exchange) -> None:
-        exchange.respond(200, b"Content-Type: application/json\r\n", b"{}")
-
-    async def _acknowledge_later(self, exchange: Exchange) -> None:
-        """Acknowledge a drain once it is in the store, or refuse for now."""
-        deadline = self._loop.time() + ACK_WAIT_S
-        while self._loop.time() < deadline:
-            await asyncio.sleep(ACK_POLL_S)
-            if not self.watch.drain_pending:
-                self._acknowledge(exchange)
-                return
-        exchange.respond(503, b"", b"")
-
     # Configuration and members.
 
     def _health_path(self) -> str:
@@ -292,7 +236,7 @@
         return table.state.health_paths.get(self.env.pool, "/health")
 
     def _on_config(self, state: DesiredState) -> None:
-        self.callers.limits = state.limits
+        self.listeners.callers.limits = state.limits
         pools = {pool for route in state.routes for pool, _ in route.pools}
         self.fleet.warm(sorted(pools))
         self.watch.reconsider()
@@ -347,9 +291,8 @@
         if version <= self.config.version:
             return
         now = self._loop.time()
-        asked_at = self._pulled.get(f"config {version}", 0.0)
-        if now - asked_at > 0.2:
-            self._pulled = {f"config {version}": now}
+        if version > self._pulled_version or now - self._pulled_at > PULL_AGAIN_S:
+            self._pulled_version, self._pulled_at = version, now
             link.send(Pull(self.config.version, self.fleet.members.version))
 
     def on_frame(self, link: Link, frame: Frame) -> None:
--- a/dogwooddock/mesh/rows.py
+++ b/dogwooddock/mesh/rows.py
@@ -96,9 +96,11 @@
     """Tables of versioned rows with atomic conditional transactions.
 
     Every call raises StoreRefused if nothing was done and StoreUncertain if that is
-    not known.
+    not known. ``calls`` counts the calls to the platform since the start.
     """
 
+    calls: int = 0
+
     @abstractmethod
     async def read(self, table: str, part: str) -> RowPage:
         """Return all rows of a part of a table."""
--- a/dogwooddock/platform/settings.py
+++ b/dogwooddock/platform/settings.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 from typing import Any
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 
 from ..errors import InvalidSettings
 from ..mesh.environment import Bounds, NodeEnvironment
@@ -46,6 +46,12 @@
     service: str = Field(min_length=1)
     provider: _Store
 
+    @field_validator("heartbeat")
+    @classmethod
+    def _check_heartbeat(cls, text: str) -> str:
+        parse_duration(text, "heartbeat")
+        return text
+
 
 def _bounds(entries: list[str]) -> Bounds:
     values = dict(entry.partition("=")[::2] for entry in entries)
@@ -53,9 +59,6 @@
     for name, target in (
         ("drain", "drain_s"),
         ("grace", "grace_s"),
-        ("config", "config_s"),
-        ("ack", "ack_s"),
-        ("stability", "stability_s"),
         ("budget_window", "retry_window_s"),
     ):
         if name in values:
@@ -141,7 +144,5 @@
             (parse_address(seed, "seeds")[0], file.port_range[0]) for seed in file.seeds
         ),
         store=parse_address(file.provider.address, "provider.address"),
-        heartbeat_s=parse_duration(file.heartbeat, "heartbeat"),
-        memory_mb=file.limits.memory_mb,
         bounds=_bounds(file.bounds),
     )
--- a/dogwooddock/platform/store.py
+++ b/dogwooddock/platform/store.py
@@ -74,7 +74,6 @@
     def __init__(self, address: tuple[str, int]):
         self._pool = ConnectionPool(address)
         self._host = f"Host: {address[0]}:{address[1]}\r\n".encode()
-        self.calls = 0
 
     async def read(self, table: str, part: str) -> RowPage:
         """Return all rows of a part of a table."""
--- a/dogwooddock/platform/values.py
+++ b/dogwooddock/platform/values.py
@@ -5,7 +5,6 @@
     "parse_address",
     "parse_duration",
     "parse_version",
-    "render_duration",
 ]
 
 from ..errors import DogwooddockError
@@ -35,11 +34,6 @@
     raise FormatError(f"{name} is {text!r}; write a number with ms or s")
 
 
-def render_duration(seconds: float) -> str:
-    """Write seconds as ``1500ms``."""
-    return f"{round(seconds * 1000)}ms"
-
-
 def parse_version(text: object) -> int:
     """Read ``r12`` as 12.
 
--- a/dogwooddock/policy/levels.py
+++ b/dogwooddock/policy/levels.py
@@ -14,7 +14,7 @@
 ROUTE_WEIGHT_UP = 0.4
 ROUTE_WEIGHT_DOWN = 0.25
 HOLD_S = 0.5
-STALE_DECAY_PER_S = 150.0
+STALE_HALF_LIFE_S = 0.2
 NO_REFUSAL = 99
 
 
@@ -125,7 +125,7 @@
         stale_s = now - reading.at - HOLD_S
         if stale_s <= 0:
             return reading.level
-        aged = reading.level - int(stale_s * STALE_DECAY_PER_S)
+        aged = int(reading.level * 0.5 ** (stale_s / STALE_HALF_LIFE_S))
         if aged <= 0:
             self._readings.pop(name, None)
             return 0
--- a/tests/mesh_helpers.py
+++ b/tests/mesh_helpers.py
@@ -121,8 +121,6 @@
         peer_listen=(host, free_port(host)),
         contacts=(),
         store=store_address,
-        heartbeat_s=1.5,
-        memory_mb=300,
         bounds=Bounds(**bounds),
     )
 
@@ -175,7 +173,7 @@
 
 
 async def kill_node(node):
-    for server in node.servers:
+    for server in node.listeners.servers:
         server.stop()
         for conn in list(server.connections):
             conn.abort()
@@ -183,7 +181,7 @@
         task.cancel()
     node.links.stop()
     node.fleet.close()
-    node.gate.close()
+    node.gate.reach.close()
     await asyncio.sleep(0.05)
 
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -80,6 +80,28 @@
     run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("method", "path", "rest_s"),
+    [("POST", "/order/1", 0.35), ("GET", "/read/1", 0.35), ("POST", "/order/1", 0.0)],
+)
+def test_connections_that_targets_forget_lose_no_request(method, path, rest_s):
+    """Rested connections are reset by the next request, which never runs twice."""
+
+    async def scenario():
+        async with running_fleet("shop", "stock") as fleet:
+            fleet.places[0].target.mode = TargetMode(forget_after_s=0.3)
+            for number in range(4):
+                request_id = f"req-{number}"
+                answer = await fleet.places[1].ask(path, request_id, method=method)
+                assert answer.status == 200
+                await asyncio.sleep(rest_s)
+            assert [seen.request_id for seen in fleet.runs] == [
+                f"req-{number}" for number in range(4)
+            ]
+
+    run(scenario())
+
+
 @pytest.mark.parametrize(("garble", "statuses"), GARBLES)
 def test_spoiled_answers_are_never_mixed(garble, statuses):
     async def scenario():
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,7 +15,6 @@
     parse_address,
     parse_duration,
     parse_version,
-    render_duration,
 )
 
 from .mesh_helpers import config_document, route_entry
@@ -48,7 +47,6 @@
 )
 def test_durations(text, seconds):
     assert parse_duration(text, "x") == seconds
-    assert parse_duration(render_duration(seconds), "x") == seconds
 
 
 @pytest.mark.parametrize(
