Let two nodes of each zone read the store for the others

Ruled out: a pause between calls alone (still nodes times changes); a lease for one reader (nobody reads until it has passed).

Change: the first two nodes of a zone, by address among live links, follow the store; who sees fewer reads for itself, and a reader without store says so. Changes of members go out to the zone at once; configurations are asked of the own zone first.

--- a/dogwooddock/mesh/fleet.py
+++ b/dogwooddock/mesh/fleet.py
@@ -10,6 +10,7 @@
 from ..peers.links import OutboundLink, PeerState
 from ..policy.levels import LevelTable
 from ..policy.outcomes import Outcome, Reason
+from ..policy.readers import PeerSight
 from ..policy.selection import Candidate, Selector
 from .calls import MeshCall, MeshReply, NodeRecord
 from .gate import Gate
@@ -74,13 +75,13 @@
         self, address: Address, zone: str, gate: Gate, state: PeerState, rng: Random
     ):
         self._loop = asyncio.get_running_loop()
-        self._address = address
+        self.address = address
         self._zone = zone
         self._gate = gate
         self._state = state
         self._rng = rng
         self._links: dict[Address, OutboundLink] = {}
-        self._addresses: dict[int, Address] = {}
+        self.addresses: dict[int, Address] = {}
         self._pool_used_at: dict[str, float] = {}
         self.members = MemberTable(self._on_pool_change)
         self.selector = Selector(zone)
@@ -91,7 +92,7 @@
         pairs = []
         for record in records:
             node_id = node_id_of(record.address)
-            self._addresses[node_id] = record.address
+            self.addresses[node_id] = record.address
             pairs.append((node_id, record.zone))
         self.selector.sync(pool, pairs)
         for record in records:
@@ -103,7 +104,7 @@
 
     def _dial(self, records: list[NodeRecord]) -> None:
         for record in records:
-            if record.address != self._address:
+            if record.address != self.address:
                 self._link(record.address).dial()
 
     def _link(self, address: Address) -> OutboundLink:
@@ -137,8 +138,8 @@
         return self.selector.choose(pool, now, self._rng, unusable, kind, allowed_s)
 
     def _usable(self, node_id: int) -> bool:
-        address = self._addresses[node_id]
-        if address == self._address:
+        address = self.addresses[node_id]
+        if address == self.address:
             return self._gate.accepting
         link = self._link(address)
         if link.is_up:
@@ -148,12 +149,12 @@
 
     def target_id(self, candidate: Candidate) -> str:
         """Return the identity of a candidate's target."""
-        record = self.members.find(self._addresses[candidate.node_id])
+        record = self.members.find(self.addresses[candidate.node_id])
         return record.target_id if record is not None else ""
 
     def address_of(self, candidate: Candidate) -> Address:
         """Return the peer address of a candidate."""
-        return self._addresses[candidate.node_id]
+        return self.addresses[candidate.node_id]
 
     def send(
         self,
@@ -169,8 +170,8 @@
             self._note(sending, reply)
             done(reply)
 
-        address = self._addresses[candidate.node_id]
-        if address == self._address:
+        address = self.addresses[candidate.node_id]
+        if address == self.address:
             sending._gate = self._gate
             sending._gate_call = self._gate.submit(call, on_reply)
             return sending
@@ -216,7 +217,7 @@
     def dial_contacts(self, addresses: tuple[Address, ...]) -> None:
         """Connect to nodes that are known from the settings."""
         for address in addresses:
-            if address != self._address:
+            if address != self.address:
                 self._link(address).dial()
 
     def warm(self, pools: list[str]) -> None:
@@ -225,6 +226,14 @@
             self._pool_used_at.setdefault(pool, self._loop.time())
             self._dial(self.members.ready(pool))
 
+    def zone_peers(self) -> list[PeerSight]:
+        """Return the peers of the own zone that can be reached now."""
+        return [
+            PeerSight(address, link.peer_store_lost)
+            for address, link in self._links.items()
+            if link.is_up and link.peer_zone == self._zone
+        ]
+
     def has_members(self, pool: str) -> bool:
         """Report whether any target of a pool takes new work."""
         return bool(self.members.ready(pool))
--- a/dogwooddock/mesh/follower.py
+++ b/dogwooddock/mesh/follower.py
@@ -11,7 +11,7 @@
 from ..errors import PlatformError
 from .rows import HistoryLost, Row, RowStore
 
-WAIT_S = 20.0
+WAIT_S = 8.0
 BACKOFF_FIRST_S = 0.1
 BACKOFF_MAX_S = 1.0
 
@@ -30,6 +30,7 @@
         parts: Parts to read; None reads every part.
         on_rows: Called with rows and the version that they were read at.
         rng: Source of jitter.
+        gap_s: Time between calls in which changes gather, in seconds.
     """
 
     def __init__(
@@ -39,6 +40,7 @@
         parts: list[str] | None,
         on_rows: Callable[[tuple[Row, ...], int], None],
         rng: Random,
+        gap_s: float = 0.0,
     ):
         self._store = store
         self._table = table
@@ -46,12 +48,22 @@
         self._on_rows = on_rows
         self._rng = rng
         self._position: int | None = None
+        self._gap_s = gap_s
         self._backoff_s = BACKOFF_FIRST_S
-        self._lost = False
+        self._wanted = asyncio.Event()
+        self.lost = False
+
+    def want(self, wanted: bool) -> None:
+        """Begin to follow, or stop after the call under way."""
+        if wanted:
+            self._wanted.set()
+        else:
+            self._wanted.clear()
 
     async def run(self) -> None:
-        """Follow the table until cancelled."""
+        """Follow the table while that is wanted, until cancelled."""
         while True:
+            await self._wanted.wait()
             try:
                 if self._position is None:
                     await self._read()
@@ -64,6 +76,7 @@
                 await self._back_off(exc)
             else:
                 self._recovered()
+                await asyncio.sleep(self._gap_s)
 
     async def _read(self) -> None:
         parts = self._parts
@@ -88,14 +101,14 @@
         self._position = max(position, page.version)
 
     async def _back_off(self, exc: PlatformError) -> None:
-        if not self._lost:
-            self._lost = True
+        if not self.lost:
+            self.lost = True
             log.warning("store_lost", table=self._table, error=str(exc))
         await asyncio.sleep(self._backoff_s * (0.5 + self._rng.random()))
         self._backoff_s = min(BACKOFF_MAX_S, self._backoff_s * 2)
 
     def _recovered(self) -> None:
-        if self._lost:
-            self._lost = False
+        if self.lost:
+            self.lost = False
             log.info("store_regained", table=self._table, version=self._position)
         self._backoff_s = BACKOFF_FIRST_S
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -24,12 +24,12 @@
 from .config import ConfigHolder
 from .environment import NodeEnvironment
 from .fleet import Fleet, node_id_of
-from .follower import TableFollower
 from .gate import Gate
 from .heartbeats import TargetWatch
 from .ingress import Ingress
 from .listeners import Listeners
-from .recordrows import MEMBERS_TABLE, MalformedRecord, decode_record
+from .reading import StoreReading
+from .recordrows import MalformedRecord, decode_record
 from .routing import DesiredState
 from .rows import Row, RowStore
 from .wireformat import HeaderFormat
@@ -38,6 +38,9 @@
 MOST_RETRY_TOKENS = 4.0
 DRAIN_LISTEN_MARGIN_S = 0.1
 PULL_AGAIN_S = 0.2
+PULL_ELSEWHERE_S = 0.3
+TOLD_BY_LEARNERS = 3
+MOST_PUSHED = 32
 EXIT_MARGIN_S = 0.6
 HOUSEKEEPING_S = 1.0
 JOB_RESTART_S = 1.0
@@ -107,6 +110,15 @@
             self.quarantine,
             rng,
         )
+        self.reading = StoreReading(
+            parts.store,
+            parts.config_place[0],
+            self.fleet,
+            self._on_config_rows,
+            self._on_member_rows,
+            self._tell_everyone,
+            rng,
+        )
         self.announcer = Announcer(parts.store, env.zone, env.peer_listen, rng)
         self.watch = TargetWatch(
             env,
@@ -138,14 +150,7 @@
         env = self.env
         await self.links.start(env.peer_listen)
         await self.listeners.start(env)
-        store = self._parts.store
-        table, _ = self._parts.config_place
-        followers = (
-            TableFollower(store, table, [""], self._on_config_rows, self._rng),
-            TableFollower(store, MEMBERS_TABLE, None, self._on_member_rows, self._rng),
-        )
-        jobs = [follower.run for follower in followers]
-        jobs += [self.watch.recover, self.announcer.run]
+        jobs = [*self.reading.jobs, self.watch.recover, self.announcer.run]
         jobs += [self.fleet.watch, self._keep_house]
         self._tasks = [self._loop.create_task(_keep_running(job)) for job in jobs]
         self.fleet.dial_contacts(env.contacts)
@@ -240,7 +245,8 @@
         pools = {pool for route in state.routes for pool, _ in route.pools}
         self.fleet.warm(sorted(pools))
         self.watch.reconsider()
-        self.links.broadcast(self.probe(reply=True))
+        most = 0 if self.reading.active else TOLD_BY_LEARNERS
+        self.links.broadcast(self.probe(reply=True), most=most)
 
     def _on_config_rows(self, rows: tuple[Row, ...], version: int) -> None:
         _, key = self._parts.config_place
@@ -259,9 +265,15 @@
                 log.warning("record_malformed", key=row.key, error=str(exc))
         self.fleet.members.merge(records)
         self.fleet.members.version = max(self.fleet.members.version, version)
+        if 0 < len(records) <= MOST_PUSHED:
+            update = StateUpdate(0, b"", tuple(records), 0)
+            self.links.broadcast(Push(update), zone=self.env.zone)
 
     def _on_own_record(self, record: NodeRecord) -> None:
         self.fleet.members.merge([record])
+        self._tell_everyone()
+
+    def _tell_everyone(self) -> None:
         frame = self.probe(reply=True)
         self.links.broadcast(frame)
         self.fleet.tell_all(frame)
@@ -284,10 +296,20 @@
             self.fleet.members.version,
             self.gate.accepting,
             self.watch.record,
+            self.env.zone,
+            self.reading.lost,
         )
 
     def on_config_version(self, link: Link, version: int) -> None:
-        """Ask a peer that has a newer configuration for it."""
+        """Ask a peer that has a newer configuration for it, the own zone first."""
+        if version <= self.config.version:
+            return
+        if link.peer_zone == self.env.zone or not self.config.version:
+            self._pull_config(link, version)
+        else:
+            self._loop.call_later(PULL_ELSEWHERE_S, self._pull_config, link, version)
+
+    def _pull_config(self, link: Link, version: int) -> None:
         if version <= self.config.version:
             return
         now = self._loop.time()
@@ -301,9 +323,8 @@
             if frame.sender is not None:
                 self.fleet.members.merge([frame.sender])
             self.on_config_version(link, frame.config_version)
-            if not len(self.fleet.members) or (
-                frame.members_version > self.fleet.members.version
-            ):
+            known = len(self.fleet.members) and link.peer_zone != self.env.zone
+            if frame.members_version > self.fleet.members.version and not known:
                 link.send(Pull(self.config.version, self.fleet.members.version))
         elif isinstance(frame, Pull):
             link.send(Push(self._update_for(frame)))
@@ -329,6 +350,8 @@
         if update.document:
             self.config.offer(update.document, "peer")
         self.fleet.members.merge(update.members)
+        members = self.fleet.members
+        members.version = max(members.version, update.members_version)
 
     def _on_target_lost(self, fingerprints: list[str]) -> None:
         now = self._loop.time()
--- a/dogwooddock/peers/linkcodec.py
+++ b/dogwooddock/peers/linkcodec.py
@@ -90,6 +90,8 @@
         members_version: Store version that its members were read at.
         accepting: Whether its gate takes new work.
         sender: Its own record; None while it has no target.
+        zone: Its availability zone.
+        store_lost: Whether it cannot reach the store.
     """
 
     reply: bool
@@ -97,6 +99,8 @@
     members_version: int
     accepting: bool
     sender: NodeRecord | None
+    zone: str = ""
+    store_lost: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -253,6 +257,8 @@
         frame.members_version,
         frame.accepting,
         sender,
+        frame.zone,
+        frame.store_lost,
     )
 
 
@@ -264,6 +270,8 @@
         wire.members_version,
         wire.accepting,
         sender,
+        wire.zone or "",
+        bool(wire.store_lost),
     )
 
 
--- a/dogwooddock/peers/links.py
+++ b/dogwooddock/peers/links.py
@@ -81,6 +81,7 @@
         self._outgoing: list[bytes] = []
         self._transport: asyncio.Transport
         self.is_up = False
+        self.peer_zone = ""
         self.heard_at = self._loop.time()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -121,6 +122,8 @@
             self.close()
             return
         for frame in frames:
+            if isinstance(frame, Probe):
+                self.peer_zone = frame.zone
             self._on_frame(self, frame)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -163,6 +166,12 @@
         self._closed = False
         self._probed_at = 0.0
         self.peer_accepting = True
+        self.peer_store_lost = False
+
+    @property
+    def peer_zone(self) -> str:
+        """Return the peer's availability zone; empty while it is not known."""
+        return self._link.peer_zone if self._link is not None else ""
 
     @property
     def is_up(self) -> bool:
@@ -203,6 +212,7 @@
             log.info("peer_reached", peer=self.address[0])
         self._redial_s = REDIAL_FIRST_S
         self.peer_accepting = True
+        self.peer_store_lost = False
         self._link = link
         link.send(self._state.probe(reply=False))
         self._probed_at = self._loop.time()
@@ -240,6 +250,7 @@
             return
         if isinstance(frame, Probe):
             self.peer_accepting = frame.accepting
+            self.peer_store_lost = frame.store_lost
         self._state.on_frame(link, frame)
 
     def _on_lost(self, link: Link) -> None:
@@ -342,10 +353,19 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return host, port
 
-    def broadcast(self, frame: Frame) -> None:
-        """Send a frame to every node that has a link to this one."""
-        for inbound in self._links:
-            inbound.link.send(frame)
+    def broadcast(self, frame: Frame, zone: str = "", most: int = 0) -> None:
+        """Send a frame to the nodes that have a link to this one.
+
+        Args:
+            frame: What to send.
+            zone: Availability zone to send it to; empty for all.
+            most: Number of nodes to send it to; 0 for all.
+        """
+        links = [inbound.link for inbound in self._links]
+        if zone:
+            links = [link for link in links if link.peer_zone == zone]
+        for link in links[:most] if most else links:
+            link.send(frame)
 
     def stop(self) -> None:
         """Stop listening and close every link."""
--- a/dogwooddock/peers/peer.thrift
+++ b/dogwooddock/peers/peer.thrift
@@ -191,6 +191,8 @@
   3: i64 members_version
   4: bool accepting
   5: NodeRecord sender
+  6: string zone
+  7: bool store_lost
 }
 
 struct StatePull {
--- a/dogwooddock/peers/wire/ttypes.py
+++ b/dogwooddock/peers/wire/ttypes.py
@@ -2347,6 +2347,8 @@
      - members_version
      - accepting
      - sender
+     - zone
+     - store_lost
 
     """
 
@@ -2356,15 +2358,19 @@
         'members_version',
         'accepting',
         'sender',
+        'zone',
+        'store_lost',
     )
 
 
-    def __init__(self, reply=None, config_version=None, members_version=None, accepting=None, sender=None,):
+    def __init__(self, reply=None, config_version=None, members_version=None, accepting=None, sender=None, zone=None, store_lost=None,):
         self.reply = reply
         self.config_version = config_version
         self.members_version = members_version
         self.accepting = accepting
         self.sender = sender
+        self.zone = zone
+        self.store_lost = store_lost
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2401,6 +2407,16 @@
                     self.sender.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.store_lost = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2431,6 +2447,14 @@
             oprot.writeFieldBegin('sender', TType.STRUCT, 5)
             self.sender.write(oprot)
             oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 6)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.store_lost is not None:
+            oprot.writeFieldBegin('store_lost', TType.BOOL, 7)
+            oprot.writeBool(self.store_lost)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2911,6 +2935,8 @@
     (3, TType.I64, 'members_version', None, None, ),  # 3
     (4, TType.BOOL, 'accepting', None, None, ),  # 4
     (5, TType.STRUCT, 'sender', [NodeRecord, None], None, ),  # 5
+    (6, TType.STRING, 'zone', 'UTF8', None, ),  # 6
+    (7, TType.BOOL, 'store_lost', None, None, ),  # 7
 )
 all_structs.append(StatePull)
 StatePull.thrift_spec = (
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -136,6 +136,7 @@
                     seen[row.key] = (row.version, row.value)
 
         follower = TableFollower(store, "t", None, on_rows, Random(1))
+        follower.want(True)
         await store.transact([], [Change("t", "a", "k0", b"0")])
         task = asyncio.create_task(follower.run())
         await asyncio.sleep(0.05)
