Serve the target of a stopping node while callers' last requests are awaited

Ruled out: listening for a shorter time (callers still send on open connections).

Change: the gate takes calls until 0.7 s before the end of that wait; callers are turned away at once as before. The test of the stopping node asked for a refusal at once; it now asks for it once the gate has closed, and that the refused request did not run. A new test fails without the change.

--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -37,6 +37,7 @@
 RETRY_SHARE = 0.8
 MOST_RETRY_TOKENS = 4.0
 DRAIN_LISTEN_MARGIN_S = 0.1
+GATE_CLOSES_BEFORE_S = 0.7
 PULL_AGAIN_S = 0.2
 PULL_ELSEWHERE_S = 0.3
 TOLD_BY_LEARNERS = 3
@@ -160,18 +161,24 @@
         log.info("node_started", node=env.name, zone=env.zone, pool=env.pool)
 
     async def stop(self) -> None:
-        """Refuse new work at the gate, finish what is in flight and stop."""
+        """Turn callers away, finish what is in flight and stop.
+
+        The target behind the gate is as good as before, so the gate takes calls until
+        those can just end while callers' last requests are awaited anyway.
+        """
         started = time.monotonic()
         bounds = self.env.bounds
         deadline = started + bounds.grace_s - EXIT_MARGIN_S
         listen_until = started + bounds.drain_s + DRAIN_LISTEN_MARGIN_S
+        gate_until = listen_until - GATE_CLOSES_BEFORE_S
         log.info("node_draining", in_flight=self.ingress.in_flight)
-        self.gate.stopping = True
         callers = self.listeners.callers
         callers.draining = True
-        self.links.broadcast(self.probe(reply=True))
         while time.monotonic() < deadline:
             await asyncio.sleep(0.02)
+            if not self.gate.stopping and time.monotonic() >= gate_until:
+                self.gate.stopping = True
+                self.links.broadcast(self.probe(reply=True))
             if self.gate.busy or time.monotonic() < listen_until:
                 continue  # The target's runs may still need calls of their own.
             if not callers.closing_idle:
--- a/tests/test_mesh_target.py
+++ b/tests/test_mesh_target.py
@@ -189,8 +189,10 @@
             asked = asyncio.create_task(stock.ask("/read/1", "slow", wait_ms=8000))
             await until(lambda: len(shop.target.runs) == 1)
             stopping = asyncio.create_task(shop.node.stop())
+            await until(lambda: shop.node.gate.stopping)
             refused = await stock.ask("/read/1", "late")
             assert refused.status == 503
+            assert "late" not in {seen.request_id for seen in fleet.runs}
             assert (await asked).status == 200
             await stopping
 
@@ -210,3 +212,27 @@
             assert place.node.watch._tracker.current is None
 
     run(scenario())
+
+
+def test_stopping_node_serves_its_target_while_it_waits_for_callers():
+    """The target is as good as before; its calls must not fail for the restart."""
+
+    async def scenario():
+        async with running_fleet("shop", "stock") as fleet:
+            shop, stock = fleet.places
+            shop.target.mode = TargetMode(work_s=0.1)
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            stopping = asyncio.create_task(shop.node.stop())
+            listen_s = shop.env.bounds.drain_s
+            served_until = 0.0
+            while not stopping.done():
+                answer = await stock.ask("/order/1", "o-1", method="POST")
+                assert answer.status in (200, 503)
+                if answer.status == 200:
+                    served_until = loop.time() - started
+            await stopping
+            assert served_until > 0.5 * listen_s
+            assert loop.time() - started < shop.env.bounds.grace_s
+
+    run(scenario())
