--- a/dogwooddock/mesh/fleet.py
+++ b/dogwooddock/mesh/fleet.py
@@ -81,7 +81,7 @@
         self._state = state
         self._rng = rng
         self._links: dict[Address, OutboundLink] = {}
-        self.addresses: dict[int, Address] = {}
+        self._addresses: dict[int, Address] = {}
         self._pool_used_at: dict[str, float] = {}
         self.members = MemberTable(self._on_pool_change)
         self.selector = Selector(zone)
@@ -92,7 +92,7 @@
         pairs = []
         for record in records:
             node_id = node_id_of(record.address)
-            self.addresses[node_id] = record.address
+            self._addresses[node_id] = record.address
             pairs.append((node_id, record.zone))
         self.selector.sync(pool, pairs)
         for record in records:
@@ -138,7 +138,7 @@
         return self.selector.choose(pool, now, self._rng, unusable, kind, allowed_s)
 
     def _usable(self, node_id: int) -> bool:
-        address = self.addresses[node_id]
+        address = self._addresses[node_id]
         if address == self.address:
             return self._gate.accepting
         link = self._link(address)
@@ -149,12 +149,12 @@
 
     def target_id(self, candidate: Candidate) -> str:
         """Return the identity of a candidate's target."""
-        record = self.members.find(self.addresses[candidate.node_id])
+        record = self.members.find(self._addresses[candidate.node_id])
         return record.target_id if record is not None else ""
 
     def address_of(self, candidate: Candidate) -> Address:
         """Return the peer address of a candidate."""
-        return self.addresses[candidate.node_id]
+        return self._addresses[candidate.node_id]
 
     def send(
         self,
@@ -170,7 +170,7 @@
             self._note(sending, reply)
             done(reply)
 
-        address = self.addresses[candidate.node_id]
+        address = self._addresses[candidate.node_id]
         if address == self.address:
             sending._gate = self._gate
             sending._gate_call = self._gate.submit(call, on_reply)
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -133,7 +133,6 @@
             self.ingress, self.watch, parts.ready_path, parts.read_heartbeat, self
         )
         self.links = LinkServer(self.gate, self)
-        self._rng = rng
 
     # Life cycle.
 
