Say once what the change said twice, and drop what nothing reads

No behaviour that callers see changes.

A probe with a newer configuration and newer members brings one Pull, not two with the same answer twice. Marks and signs of life go to all peers by one method. A level's move is one comparison instead of two; what it is told no longer names a time and a class that it did not read. The two places that word a refusal share it. The played chains take the classes of callers from the product.

--- a/bench/chainplay.py
+++ b/bench/chainplay.py
@@ -20,13 +20,13 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from dogwooddock.mesh.pending import CALLER_CLASSES
 from dogwooddock.policy.admission import Admission, QueuedCall, Verdict
 from dogwooddock.policy.levels import LEVEL_SCALE, LevelTable
 from dogwooddock.policy.limits import StaticLimit
 from dogwooddock.policy.outcomes import Reason
 from dogwooddock.policy.selection import Selector
 
-CALLER_CLASSES = 5
 LINK_S = 0.0005
 SWEEP_S = 0.01
 SAMPLE_S = 0.1
@@ -386,6 +386,6 @@
                 expected_s = node.admission.expected_s(self.now, queued.kind)
                 if self.now + expected_s * 0.5 > queued.deadline:
                     del node.waiting[queued]
-                    node.admission.give_up(self.now, queued)
+                    node.admission.give_up(queued)
                     run.done(False, 0)
         self._after(SWEEP_S, self._sweep)
--- a/dogwooddock/mesh/calls.py
+++ b/dogwooddock/mesh/calls.py
@@ -27,7 +27,6 @@
         headers: Rendered headers to pass on.
         body: Whole body.
         deadline: Loop time after which the answer is useless, in seconds.
-        objective_at: Loop time until which the answer is worth most, in seconds.
         idempotent: Whether it may run more than once.
         importance: 0 (least) to 9 (most).
         depth: 0 for a caller's request, 1 for a call of a target.
@@ -46,7 +45,6 @@
     headers: bytes
     body: bytes
     deadline: float
-    objective_at: float
     idempotent: bool
     importance: int
     depth: int
--- a/dogwooddock/mesh/gate.py
+++ b/dogwooddock/mesh/gate.py
@@ -200,7 +200,7 @@
             expected_s = self.admission.expected_s(now, queued.kind)
             if now + max(LEAST_TIME_S, expected_s * LEAST_RUN_SHARE) > queued.deadline:
                 del self._waiting[queued]
-                self.admission.give_up(now, queued)
+                self.admission.give_up(queued)
                 self._refuse(gate_call, Reason.DEADLINE)
         if self._waiting:
             self._schedule_sweep()
--- a/dogwooddock/mesh/ingress.py
+++ b/dogwooddock/mesh/ingress.py
@@ -128,7 +128,6 @@
             self._wire.forwarded_headers(request),
             request.body,
             now + wait_s,
-            now + route.objective_s,
             route.idempotent,
             importance,
             depth,
@@ -159,7 +158,7 @@
             self._give_up(pending, Reason.QUARANTINED)
             return
         candidate = self._fleet.choose(
-            pending.pool, pending.tried, call.route, call.objective_at - now
+            pending.pool, pending.tried, call.route, pending.objective_at - now
         )
         if candidate is None:
             self._wait_for_link(pending, now)
@@ -279,7 +278,7 @@
             retry_s = retry_after_s(pending.last.load.wait_s, self._rng)
         self._log_failure(pending, reason, status)
         self._close(pending, outcome, reason, False)
-        text = f"request {outcome.value}: {reason.value}"
+        text = _explain(outcome, reason)
         self._answer_self(pending.exchange, call.request_id, status, text, retry_s)
 
     def _turn_away(
@@ -287,7 +286,7 @@
     ) -> None:
         self.outcomes[("", Outcome.NOT_RUN.value, reason.value)] += 1
         retry_s = retry_after_s(0.0, self._rng)
-        text = f"request {Outcome.NOT_RUN.value}: {reason.value}"
+        text = _explain(Outcome.NOT_RUN, reason)
         self._answer_self(exchange, fields.request_id, 503, text, retry_s)
 
     def _answer_self(
@@ -354,3 +353,8 @@
             gate_queued=load.queued,
             gate_level=load.level,
         )
+
+
+def _explain(outcome: Outcome, reason: Reason) -> str:
+    """Return what a caller reads about a request that no target answered."""
+    return f"request {outcome.value}: {reason.value}"
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -117,7 +117,7 @@
             self.fleet,
             self._on_config_rows,
             self._on_member_rows,
-            self._tell_everyone,
+            self._tell_state,
             rng,
         )
         self.announcer = Announcer(parts.store, env.zone, env.peer_listen, rng)
@@ -277,10 +277,12 @@
 
     def _on_own_record(self, record: NodeRecord) -> None:
         self.fleet.members.merge([record])
-        self._tell_everyone()
+        self._tell_state()
 
-    def _tell_everyone(self) -> None:
-        frame = self.probe(reply=True)
+    def _tell_state(self) -> None:
+        self._tell_everyone(self.probe(reply=True))
+
+    def _tell_everyone(self, frame: Frame) -> None:
         self.links.broadcast(frame)
         self.fleet.tell_all(frame)
 
@@ -308,30 +310,39 @@
 
     def on_config_version(self, link: Link, version: int) -> None:
         """Ask a peer that has a newer configuration for it, the own zone first."""
+        self._follow_config(link, version)
+
+    def _follow_config(self, link: Link, version: int) -> bool:
+        """Ask for a newer configuration, now or later; return whether it was now."""
         if version <= self.config.version:
-            return
+            return False
         if link.peer_zone == self.env.zone or not self.config.version:
-            self._pull_config(link, version)
-        else:
-            self._loop.call_later(PULL_ELSEWHERE_S, self._pull_config, link, version)
+            return self._pull_config(link, version)
+        self._loop.call_later(PULL_ELSEWHERE_S, self._pull_config, link, version)
+        return False
 
-    def _pull_config(self, link: Link, version: int) -> None:
-        if version <= self.config.version:
-            return
+    def _pull_config(self, link: Link, version: int) -> bool:
         now = self._loop.time()
-        if version > self._pulled_version or now - self._pulled_at > PULL_AGAIN_S:
-            self._pulled_version, self._pulled_at = version, now
-            link.send(Pull(self.config.version, self.fleet.members.version))
+        asked = (
+            version <= self._pulled_version and now - self._pulled_at <= PULL_AGAIN_S
+        )
+        if version <= self.config.version or asked:
+            return False
+        self._pulled_version, self._pulled_at = version, now
+        self._pull(link)
+        return True
+
+    def _pull(self, link: Link) -> None:
+        link.send(Pull(self.config.version, self.fleet.members.version))
 
     def on_frame(self, link: Link, frame: Frame) -> None:
         """Take a frame other than a call or a reply."""
         if isinstance(frame, Probe):
             if frame.sender is not None:
                 self.fleet.members.merge([frame.sender])
-            self.on_config_version(link, frame.config_version)
-            known = len(self.fleet.members) and link.peer_zone != self.env.zone
-            if frame.members_version > self.fleet.members.version and not known:
-                link.send(Pull(self.config.version, self.fleet.members.version))
+            pulled = self._follow_config(link, frame.config_version)
+            if not pulled and self._lacks_members(link, frame.members_version):
+                self._pull(link)
         elif isinstance(frame, Pull):
             link.send(Push(self._update_for(frame)))
         elif isinstance(frame, Push):
@@ -341,6 +352,12 @@
             for mark in frame.marks:
                 self.quarantine.add(now, mark)
 
+    def _lacks_members(self, link: Link, version: int) -> bool:
+        """Report whether to ask a peer for members: the own zone, or any at first."""
+        members = self.fleet.members
+        near = link.peer_zone == self.env.zone or not len(members)
+        return near and version > members.version
+
     def _update_for(self, pull: Pull) -> StateUpdate:
         members: tuple[NodeRecord, ...] = ()
         if pull.members_version < self.fleet.members.version:
@@ -367,9 +384,7 @@
             if mark is not None:
                 marks.append(mark)
         log.warning("target_crashed", suspects=len(marks))
-        frame = Marks(tuple(marks))
-        self.links.broadcast(frame)
-        self.fleet.tell_all(frame)
+        self._tell_everyone(Marks(tuple(marks)))
 
 
 async def _keep_running(job: Callable[[], Awaitable[None]]) -> None:
--- a/dogwooddock/mesh/pending.py
+++ b/dogwooddock/mesh/pending.py
@@ -50,6 +50,11 @@
     )
     done: bool = False
 
+    @property
+    def objective_at(self) -> float:
+        """Return the loop time until which the answer is worth most, in seconds."""
+        return self.arrived_at + self.route.objective_s
+
 
 def chain_rank(route: MeshRoute, request_id: bytes, parent: GateCall | None) -> int:
     """Return the rank of a chain, which every hop of it keeps."""
--- a/dogwooddock/mesh/reach.py
+++ b/dogwooddock/mesh/reach.py
@@ -43,12 +43,11 @@
         """Report whether the target could not be reached a moment ago."""
         return self._loop.time() < self._down_until
 
-    def point_at(self, address: tuple[str, int]) -> ConnectionPool:
+    def point_at(self, address: tuple[str, int]) -> None:
         """Use connections to a new target from now on."""
         self.close()
         self._pool = ConnectionPool(address)
         self._down_until = 0.0
-        return self._pool
 
     @property
     def pool(self) -> ConnectionPool:
--- a/dogwooddock/peers/peer.thrift
+++ b/dogwooddock/peers/peer.thrift
@@ -147,7 +147,6 @@
   7: binary headers
   8: binary body
   9: i32 remaining_ms
-  10: i32 objective_ms
   11: bool idempotent
   12: i8 importance
   13: i8 depth
--- a/dogwooddock/peers/wire/ttypes.py
+++ b/dogwooddock/peers/wire/ttypes.py
@@ -1706,7 +1706,6 @@
      - headers
      - body
      - remaining_ms
-     - objective_ms
      - idempotent
      - importance
      - depth
@@ -1728,7 +1727,6 @@
         'headers',
         'body',
         'remaining_ms',
-        'objective_ms',
         'idempotent',
         'importance',
         'depth',
@@ -1740,7 +1738,7 @@
     )
 
 
-    def __init__(self, call_id=None, request_id=None, route=None, target_id=None, method=None, path=None, headers=None, body=None, remaining_ms=None, objective_ms=None, idempotent=None, importance=None, depth=None, caller=None, fingerprint=None, config_version=None, rank=None, repeat=None,):
+    def __init__(self, call_id=None, request_id=None, route=None, target_id=None, method=None, path=None, headers=None, body=None, remaining_ms=None, idempotent=None, importance=None, depth=None, caller=None, fingerprint=None, config_version=None, rank=None, repeat=None,):
         self.call_id = call_id
         self.request_id = request_id
         self.route = route
@@ -1750,7 +1748,6 @@
         self.headers = headers
         self.body = body
         self.remaining_ms = remaining_ms
-        self.objective_ms = objective_ms
         self.idempotent = idempotent
         self.importance = importance
         self.depth = depth
@@ -1814,11 +1811,6 @@
                     self.remaining_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 10:
-                if ftype == TType.I32:
-                    self.objective_ms = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.BOOL:
                     self.idempotent = iprot.readBool()
@@ -1905,10 +1897,6 @@
             oprot.writeFieldBegin('remaining_ms', TType.I32, 9)
             oprot.writeI32(self.remaining_ms)
             oprot.writeFieldEnd()
-        if self.objective_ms is not None:
-            oprot.writeFieldBegin('objective_ms', TType.I32, 10)
-            oprot.writeI32(self.objective_ms)
-            oprot.writeFieldEnd()
         if self.idempotent is not None:
             oprot.writeFieldBegin('idempotent', TType.BOOL, 11)
             oprot.writeBool(self.idempotent)
@@ -2888,7 +2876,7 @@
     (7, TType.STRING, 'headers', 'BINARY', None, ),  # 7
     (8, TType.STRING, 'body', 'BINARY', None, ),  # 8
     (9, TType.I32, 'remaining_ms', None, None, ),  # 9
-    (10, TType.I32, 'objective_ms', None, None, ),  # 10
+    None,  # 10
     (11, TType.BOOL, 'idempotent', None, None, ),  # 11
     (12, TType.BYTE, 'importance', None, None, ),  # 12
     (13, TType.BYTE, 'depth', None, None, ),  # 13
--- a/dogwooddock/policy/admission.py
+++ b/dogwooddock/policy/admission.py
@@ -126,7 +126,7 @@
         """Decide about an arriving call."""
         if self.draining:
             return Decision(Verdict.REFUSE, Reason.DRAINING)
-        self.levels.arrived(now, _level_class(call))
+        self.levels.arrived(_level_class(call))
         service = self.expected_s(now, call.kind)
         if now + service * 0.5 >= call.deadline:
             return Decision(Verdict.REFUSE, Reason.DEADLINE)
@@ -136,20 +136,20 @@
         self._tag(call)
         position = bisect.bisect_left(self._queue, call.order, key=_order)
         if now + self._wait_s(position) + service > call.deadline:
-            self.levels.refused(now, _level_class(call))
+            self.levels.refused()
             return Decision(Verdict.REFUSE, Reason.DEADLINE)
-        return self._enqueue(now, call, position)
+        return self._enqueue(call, position)
 
-    def _enqueue(self, now: float, call: QueuedCall, position: int) -> Decision:
+    def _enqueue(self, call: QueuedCall, position: int) -> Decision:
         displaced = None
         if position >= self._room(call.importance) or self.queued >= self._room(
             MAX_IMPORTANCE
         ):
             if position == self.queued:
-                self.levels.refused(now, _level_class(call))
+                self.levels.refused()
                 return Decision(Verdict.REFUSE, Reason.OVERLOAD)
             displaced = self._queue.pop()
-            self.levels.refused(now, _level_class(displaced))
+            self.levels.refused()
         self._queue.insert(position, call)
         return Decision(Verdict.WAIT, displaced=displaced)
 
@@ -203,10 +203,10 @@
         self._queue.remove(call)
         return True
 
-    def give_up(self, now: float, call: QueuedCall) -> None:
+    def give_up(self, call: QueuedCall) -> None:
         """Remove a waiting call whose time has run out."""
         if self.withdraw(call):
-            self.levels.refused(now, _level_class(call))
+            self.levels.refused()
 
     def drop_all(self) -> list[QueuedCall]:
         """Remove every waiting call."""
--- a/dogwooddock/policy/levels.py
+++ b/dogwooddock/policy/levels.py
@@ -56,13 +56,13 @@
     _highest: int = -1
     _lowest: int = NO_ARRIVAL
 
-    def arrived(self, now: float, importance: int) -> None:
-        """Count an arrival."""
+    def arrived(self, importance: int) -> None:
+        """Count an arrival of a class."""
         self._arrivals += 1
         self._highest = max(self._highest, importance)
         self._lowest = min(self._lowest, importance)
 
-    def refused(self, now: float, importance: int) -> None:
+    def refused(self) -> None:
         """Count a refusal for load."""
         self._refusals += 1
 
@@ -95,15 +95,16 @@
 
     def _move(self, step: float, full: bool) -> None:
         """Change the level within the classes that arrived."""
-        held = self._level
-        start = held
-        if full and self._arrivals:
-            start = max(held, float(self._lowest * LEVEL_SCALE))
+        held = wanted = self._level
         ceiling = MAX_LEVEL
         if self._arrivals:
             ceiling = (self._highest + 1) * LEVEL_SCALE
-        raised = max(held, min(float(ceiling), start + step))
-        self._level = max(0.0, raised if start + step > held else start + step)
+            if full:
+                wanted = max(held, self._lowest * LEVEL_SCALE)
+        wanted += step
+        if wanted > held:
+            wanted = max(held, min(ceiling, wanted))
+        self._level = max(0.0, wanted)
 
 
 @dataclass(slots=True)
--- a/dogwooddock/targets/slots.py
+++ b/dogwooddock/targets/slots.py
@@ -68,7 +68,7 @@
             waiter.event.wait(max(0.0, deadline - self._clock()))
         with self._lock:
             if not waiter.admitted and not waiter.reason:
-                self._admission().give_up(self._clock(), waiter.call)
+                self._admission().give_up(waiter.call)
                 waiter.reason = Reason.DEADLINE
             self._waiters.pop(waiter.call.attempt_id, None)
         return Reason.NONE if waiter.admitted else waiter.reason
