Name the request in the logs of lost runs, and log each mark that is learned

Before this change the logs could not tell whether a crash went unnoticed, a mark was not told or marks did not add up: target_lost_call and request_failed named no fingerprint, target_crashed only a number, and nothing was logged when a mark arrived. Now the four lines share the fingerprint, and mark_learned tells its source and the status that follows. No decision changes.

Tests: test_mesh.py and test_quarantine.py pass as before.

--- a/dogwooddock/mesh/gate.py
+++ b/dogwooddock/mesh/gate.py
@@ -333,6 +333,8 @@
             "target_lost_call",
             request=gate_call.queued.attempt_id,
             route=call.route,
+            fingerprint=call.fingerprint,
+            target=call.target_id,
             cause=failure.cause,
             reused=failure.reused,
             began=failure.response_started,
--- a/dogwooddock/mesh/ingress.py
+++ b/dogwooddock/mesh/ingress.py
@@ -344,6 +344,7 @@
             "request_failed",
             request=call.request_id.decode("latin-1"),
             route=call.route,
+            fingerprint=call.fingerprint,
             pool=pending.pool,
             target=call.target_id,
             depth=call.depth,
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -43,6 +43,7 @@
 NON_READER_FANOUT = 3
 MAX_PUSHED_RECORDS = 32
 EXIT_MARGIN_S = 0.6
+MAX_LOGGED_MARKS = 8
 MAINTENANCE_PERIOD_S = 1.0
 JOB_RESTART_DELAY_S = 1.0
 GC_THRESHOLD = 50_000
@@ -366,9 +367,7 @@
         elif isinstance(frame, PushFrame):
             self._apply_update(frame.update)
         elif isinstance(frame, MarksFrame):
-            now = self._loop.time()
-            for mark in frame.marks:
-                self.quarantine.add(now, mark)
+            self._add_marks(frame.marks, "peer")
 
     def _should_pull_members(self, link: Link, version: int) -> bool:
         """Report whether to pull member records from a peer that has a newer version.
@@ -397,6 +396,19 @@
         members = self.fleet.members
         members.version = max(members.version, update.members_version)
 
+    def _add_marks(self, marks: tuple[Mark, ...], source: str) -> None:
+        now = self._loop.time()
+        for mark in marks:
+            if self.quarantine.add(now, mark):
+                log.info(
+                    "mark_learned",
+                    fingerprint=mark.fingerprint,
+                    lost_at=mark.node_id,
+                    released=mark.released,
+                    source=source,
+                    status=self.quarantine.status(now, mark.fingerprint).value,
+                )
+
     def _on_target_lost(self, fingerprints: list[str]) -> None:
         now = self._loop.time()
         marks: list[Mark] = []
@@ -404,7 +416,13 @@
             mark = self.quarantine.record_target_loss(now, request, self.node_id)
             if mark is not None:
                 marks.append(mark)
-        log.warning("target_crashed", suspects=len(marks))
+        log.warning(
+            "target_crashed",
+            suspects=len(marks),
+            fingerprints=",".join(
+                mark.fingerprint for mark in marks[:MAX_LOGGED_MARKS]
+            ),
+        )
         self._broadcast(MarksFrame(tuple(marks)))
 
 
