--- a/bench/mesh_standin.py
+++ b/bench/mesh_standin.py
@@ -175,6 +175,9 @@
         late_s: Delay of the second answer of late-refusal, in seconds.
         reset_after_idle_s: Idle time after which the next request on a connection
             makes the target reset it, in seconds.
+        crash_on: Part of the path of requests that crash the target; empty for none.
+        crash_silently: Whether a crashed target leaves connections open and
+            unanswered instead of resetting them.
     """
 
     work_s: float = 0.0
@@ -186,6 +189,8 @@
     call_gap_s: float = 0.0
     late_s: float = 0.02
     reset_after_idle_s: float = float("inf")
+    crash_on: str = ""
+    crash_silently: bool = False
 
 
 @dataclass
@@ -214,6 +219,7 @@
         runs: Requests that it ran, in order of arrival.
         arrivals: Requests received, health checks aside.
         aborted_runs: Runs whose connection was closed before the answer.
+        crashed: Whether the target has crashed and was not restarted.
         state: State that heartbeats report.
         address: Address that it listens on and reports.
         heartbeat_address: Address of the node for heartbeats.
@@ -228,6 +234,7 @@
     runs: list[Run] = field(default_factory=list)
     arrivals: int = 0
     aborted_runs: int = 0
+    crashed: bool = False
     state: str = "ready"
     address: Address = ("", 0)
     heartbeat_address: Address = ("", 0)
@@ -252,12 +259,36 @@
 
     def stop(self) -> None:
         """Abort all connections and runs at once, as in a crash."""
+        self.crashed = True
         self._server.stop()
         for conn in list(self._server.connections):
             conn.abort()
         for task in list(self._tasks):
             task.cancel()
 
+    def fall_silent(self) -> None:
+        """Stop listening and answering, but leave open connections open."""
+        self.crashed = True
+        self._server.stop()
+
+    async def restart(self, target_id: str = "", same_port: bool = True) -> None:
+        """Begin a new lifetime after a crash.
+
+        Args:
+            target_id: Identity from now on; empty to keep the identity.
+            same_port: Whether to listen on the port of the lifetime before.
+        """
+        self.stop()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._server = HttpServer(self._handle)
+        self._busy = 0
+        self._sequence = 0
+        self.target_id = target_id or self.target_id
+        self.born_ms = max(int(time.time() * 1000), self.born_ms + 1)
+        host, port = self.address
+        await self.start(host, port if same_port else 0)
+        self.crashed = False
+
     # Heartbeats.
 
     async def send_heartbeat(self, state: str = "", sequence: int | None = None) -> int:
@@ -302,6 +333,8 @@
 
     def _handle(self, exchange: Exchange) -> None:
         request = exchange.request
+        if self.crashed:
+            return
         if request.path == b"/health":
             healthy = self.state == "ready"
             block = f"Dogwooddock-Instance-Id: {self.target_id}\r\n".encode()
@@ -343,16 +376,25 @@
                 self.target_id,
             )
         )
+        if self.mode.crash_on and self.mode.crash_on in self.runs[-1].path:
+            self._crash()
+            return
         try:
             status = await self._call_downstream(request_id) or self.mode.status
             await asyncio.sleep(self.mode.work_s)
         finally:
             self._busy -= 1
-        if exchange.disconnected:
+        if exchange.disconnected or self.crashed:
             self.aborted_runs += 1
             return
         self._send_answer(exchange, request_id, status)
 
+    def _crash(self) -> None:
+        if self.mode.crash_silently:
+            self.fall_silent()
+        else:
+            self.stop()
+
     async def _call_downstream(self, request_id: str) -> int:
         for number, (host, path) in enumerate(self.mode.calls):
             await asyncio.sleep(self.mode.call_gap_s)
--- a/tests/mesh_helpers.py
+++ b/tests/mesh_helpers.py
@@ -185,6 +185,20 @@
     await asyncio.sleep(0.05)
 
 
+def cut_links(vm, other):
+    """Partition two VMs until ``heal_links``."""
+    for node, peer in ((vm, other), (other, vm)):
+        link = node.node.fleet._link(peer.env.peer_listen)
+        link._redial_at = float("inf")
+        if link._link is not None:
+            link._link.close()
+
+
+def heal_links(vm, other):
+    for node, peer in ((vm, other), (other, vm)):
+        node.node.fleet._link(peer.env.peer_listen)._redial_at = 0.0
+
+
 @asynccontextmanager
 async def running_fleet(*pools, routes=None, send_heartbeats=True):
     """Start a store, and a node with its target for each given pool."""
