Count lifetimes of targets, and quarantine what crashes a target as a suspect

What users saw: targets kept ending under one request. One cause of three: marks did not add up. Losses were counted per node, so a target that crashed, came back and crashed again counted once, and a pool of one or two targets was never safe. Two losses quarantined whatever was in flight, so a popular request that ran on two targets lost at one moment was refused for half an hour, and a success exempted a request from every mark for half an hour.

Now a mark names the lifetime. The first loss makes a request suspect; it is quarantined by a loss during a run that began while it was suspect, which one power cut cannot do to innocent requests. Marks merge in any order, by kind. The method is part of the fingerprint, so a GET that succeeds does not clear a POST of the same path.

--- a/bench/mesh_standin.py
+++ b/bench/mesh_standin.py
@@ -286,8 +286,8 @@
         self.target_id = target_id or self.target_id
         self.born_ms = max(int(time.time() * 1000), self.born_ms + 1)
         host, port = self.address
-        await self.start(host, port if same_port else 0)
         self.crashed = False
+        await self.start(host, port if same_port else 0)
 
     # Heartbeats.
 
--- a/dogwooddock/mesh/ingress.py
+++ b/dogwooddock/mesh/ingress.py
@@ -132,7 +132,9 @@
             importance,
             depth,
             self._env.pool,
-            fingerprint(self._env.pool, "", request.body, path),
+            fingerprint(
+                self._env.pool, "", request.body, path, request.method.decode("latin-1")
+            ),
             chain_rank(route, fields.request_id, parent),
             parent is not None and parent.call.repeat,
         )
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -404,7 +404,7 @@
                     "mark_learned",
                     fingerprint=mark.fingerprint,
                     lost_at=mark.node_id,
-                    released=mark.released,
+                    kind=mark.kind.name.lower(),
                     source=source,
                     status=self.quarantine.status(now, mark.fingerprint).value,
                 )
--- a/dogwooddock/node.py
+++ b/dogwooddock/node.py
@@ -36,7 +36,7 @@
 from .policy.levels import LevelTable
 from .policy.limits import AdaptiveLimit, ConcurrencyLimit, StaticLimit
 from .policy.members import Member, MemberState
-from .policy.quarantine import MARK_LIFETIME_S, Mark, Quarantine
+from .policy.quarantine import Mark, Quarantine
 from .policy.retries import RetryBudget
 from .policy.selection import Selector
 from .policy.tickets import TicketRegistry
@@ -311,10 +311,10 @@
         Returns:
             Whether the request was marked on this node.
         """
-        released = self.quarantine.release(time.monotonic(), request)
-        if released:
-            self.gossip.add_mark(Mark(request, 0, int(MARK_LIFETIME_S), released=True))
-        return released
+        marks = self.quarantine.release(time.monotonic(), request)
+        for mark in marks:
+            self.gossip.add_mark(mark)
+        return bool(marks)
 
     # Membership and configuration.
 
--- a/dogwooddock/peers/codec.py
+++ b/dogwooddock/peers/codec.py
@@ -16,7 +16,7 @@
 
 from ..errors import PeerError
 from ..policy.members import Member, MemberState, Message, MessageKind
-from ..policy.quarantine import Mark
+from ..policy.quarantine import Mark, MarkKind
 from .wire import ttypes
 
 _FACTORY = TCompactProtocolAcceleratedFactory()
@@ -68,14 +68,22 @@
 def to_wire_mark(mark: Mark) -> ttypes.QuarantineMark:
     """Convert a quarantine mark to its thrift struct."""
     return ttypes.QuarantineMark(
-        mark.fingerprint, to_wire_id(mark.node_id), mark.remaining_s, mark.released
+        mark.fingerprint,
+        to_wire_id(mark.node_id),
+        mark.remaining_s,
+        int(mark.kind),
+        mark.lifetime,
     )
 
 
 def from_wire_mark(wire: ttypes.QuarantineMark) -> Mark:
     """Convert a thrift struct to a quarantine mark."""
     return Mark(
-        wire.fingerprint, from_wire_id(wire.node_id), wire.remaining_s, wire.released
+        wire.fingerprint,
+        from_wire_id(wire.node_id),
+        wire.remaining_s,
+        MarkKind(wire.kind),
+        wire.lifetime,
     )
 
 
--- a/dogwooddock/peers/linkcodec.py
+++ b/dogwooddock/peers/linkcodec.py
@@ -102,6 +102,7 @@
         sender: Node record of the sender; None while it has no target.
         zone: Availability zone of the sender.
         store_lost: Whether the sender cannot reach the store.
+        marks_digest: Digest of the quarantine marks that the sender knows.
     """
 
     reply: bool
@@ -111,6 +112,7 @@
     sender: NodeRecord | None
     zone: str = ""
     store_lost: bool = False
+    marks_digest: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -275,6 +277,7 @@
         sender,
         frame.zone,
         frame.store_lost,
+        frame.marks_digest,
     )
 
 
@@ -288,6 +291,7 @@
         sender,
         wire.zone or "",
         bool(wire.store_lost),
+        wire.marks_digest or 0,
     )
 
 
--- a/dogwooddock/peers/peer.thrift
+++ b/dogwooddock/peers/peer.thrift
@@ -52,6 +52,7 @@
   10: i64 config_version
   11: string ticket
   12: i64 key_version
+  13: i64 target_lifetime
 }
 
 // Status of an attempt that claimed an idempotency key.
@@ -75,7 +76,8 @@
   1: string fingerprint
   2: i64 node_id
   3: i32 remaining_s
-  4: bool released
+  5: i8 kind
+  6: i64 lifetime
 }
 
 struct Gossip {
@@ -86,6 +88,7 @@
   5: i64 config_version
   6: list<Member> members
   7: list<QuarantineMark> marks
+  8: i64 marks_digest
 }
 
 struct ConfigLog {
@@ -193,6 +196,7 @@
   5: NodeRecord sender
   6: string zone
   7: bool store_lost
+  8: i64 marks_digest
 }
 
 struct StatePull {
--- a/dogwooddock/peers/wire/ttypes.py
+++ b/dogwooddock/peers/wire/ttypes.py
@@ -532,6 +532,7 @@
      - config_version
      - ticket
      - key_version
+     - target_lifetime
 
     """
 
@@ -548,10 +549,11 @@
         'config_version',
         'ticket',
         'key_version',
+        'target_lifetime',
     )
 
 
-    def __init__(self, attempt_id=None, outcome=None, reason=None, status=None, headers=None, body=None, unspent=None, load=None, downstream_level=None, config_version=None, ticket=None, key_version=None,):
+    def __init__(self, attempt_id=None, outcome=None, reason=None, status=None, headers=None, body=None, unspent=None, load=None, downstream_level=None, config_version=None, ticket=None, key_version=None, target_lifetime=None,):
         self.attempt_id = attempt_id
         self.outcome = outcome
         self.reason = reason
@@ -564,6 +566,7 @@
         self.config_version = config_version
         self.ticket = ticket
         self.key_version = key_version
+        self.target_lifetime = target_lifetime
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -641,6 +644,11 @@
                     self.key_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.target_lifetime = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -702,6 +710,10 @@
             oprot.writeFieldBegin('key_version', TType.I64, 12)
             oprot.writeI64(self.key_version)
             oprot.writeFieldEnd()
+        if self.target_lifetime is not None:
+            oprot.writeFieldBegin('target_lifetime', TType.I64, 13)
+            oprot.writeI64(self.target_lifetime)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -966,7 +978,8 @@
      - fingerprint
      - node_id
      - remaining_s
-     - released
+     - kind
+     - lifetime
 
     """
 
@@ -974,15 +987,17 @@
         'fingerprint',
         'node_id',
         'remaining_s',
-        'released',
+        'kind',
+        'lifetime',
     )
 
 
-    def __init__(self, fingerprint=None, node_id=None, remaining_s=None, released=None,):
+    def __init__(self, fingerprint=None, node_id=None, remaining_s=None, kind=None, lifetime=None,):
         self.fingerprint = fingerprint
         self.node_id = node_id
         self.remaining_s = remaining_s
-        self.released = released
+        self.kind = kind
+        self.lifetime = lifetime
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1008,9 +1023,14 @@
                     self.remaining_s = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.BOOL:
-                    self.released = iprot.readBool()
+            elif fid == 5:
+                if ftype == TType.BYTE:
+                    self.kind = iprot.readByte()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.lifetime = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1035,9 +1055,13 @@
             oprot.writeFieldBegin('remaining_s', TType.I32, 3)
             oprot.writeI32(self.remaining_s)
             oprot.writeFieldEnd()
-        if self.released is not None:
-            oprot.writeFieldBegin('released', TType.BOOL, 4)
-            oprot.writeBool(self.released)
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.BYTE, 5)
+            oprot.writeByte(self.kind)
+            oprot.writeFieldEnd()
+        if self.lifetime is not None:
+            oprot.writeFieldBegin('lifetime', TType.I64, 6)
+            oprot.writeI64(self.lifetime)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1074,6 +1098,7 @@
      - config_version
      - members
      - marks
+     - marks_digest
 
     """
 
@@ -1085,10 +1110,11 @@
         'config_version',
         'members',
         'marks',
+        'marks_digest',
     )
 
 
-    def __init__(self, kind=None, sender=None, sequence=None, subject=None, config_version=None, members=None, marks=None,):
+    def __init__(self, kind=None, sender=None, sequence=None, subject=None, config_version=None, members=None, marks=None, marks_digest=None,):
         self.kind = kind
         self.sender = sender
         self.sequence = sequence
@@ -1096,6 +1122,7 @@
         self.config_version = config_version
         self.members = members
         self.marks = marks
+        self.marks_digest = marks_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1153,6 +1180,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.marks_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1197,6 +1229,10 @@
                 iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.marks_digest is not None:
+            oprot.writeFieldBegin('marks_digest', TType.I64, 8)
+            oprot.writeI64(self.marks_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2337,6 +2373,7 @@
      - sender
      - zone
      - store_lost
+     - marks_digest
 
     """
 
@@ -2348,10 +2385,11 @@
         'sender',
         'zone',
         'store_lost',
+        'marks_digest',
     )
 
 
-    def __init__(self, reply=None, config_version=None, members_version=None, accepting=None, sender=None, zone=None, store_lost=None,):
+    def __init__(self, reply=None, config_version=None, members_version=None, accepting=None, sender=None, zone=None, store_lost=None, marks_digest=None,):
         self.reply = reply
         self.config_version = config_version
         self.members_version = members_version
@@ -2359,6 +2397,7 @@
         self.sender = sender
         self.zone = zone
         self.store_lost = store_lost
+        self.marks_digest = marks_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2405,6 +2444,11 @@
                     self.store_lost = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.marks_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2443,6 +2487,10 @@
             oprot.writeFieldBegin('store_lost', TType.BOOL, 7)
             oprot.writeBool(self.store_lost)
             oprot.writeFieldEnd()
+        if self.marks_digest is not None:
+            oprot.writeFieldBegin('marks_digest', TType.I64, 8)
+            oprot.writeI64(self.marks_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2790,6 +2838,7 @@
     (10, TType.I64, 'config_version', None, None, ),  # 10
     (11, TType.STRING, 'ticket', 'UTF8', None, ),  # 11
     (12, TType.I64, 'key_version', None, None, ),  # 12
+    (13, TType.I64, 'target_lifetime', None, None, ),  # 13
 )
 all_structs.append(KeyStatus)
 KeyStatus.thrift_spec = (
@@ -2815,7 +2864,9 @@
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
     (2, TType.I64, 'node_id', None, None, ),  # 2
     (3, TType.I32, 'remaining_s', None, None, ),  # 3
-    (4, TType.BOOL, 'released', None, None, ),  # 4
+    None,  # 4
+    (5, TType.BYTE, 'kind', None, None, ),  # 5
+    (6, TType.I64, 'lifetime', None, None, ),  # 6
 )
 all_structs.append(Gossip)
 Gossip.thrift_spec = (
@@ -2827,6 +2878,7 @@
     (5, TType.I64, 'config_version', None, None, ),  # 5
     (6, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 6
     (7, TType.LIST, 'marks', (TType.STRUCT, [QuarantineMark, None], False), None, ),  # 7
+    (8, TType.I64, 'marks_digest', None, None, ),  # 8
 )
 all_structs.append(ConfigLog)
 ConfigLog.thrift_spec = (
@@ -2925,6 +2977,7 @@
     (5, TType.STRUCT, 'sender', [NodeRecord, None], None, ),  # 5
     (6, TType.STRING, 'zone', 'UTF8', None, ),  # 6
     (7, TType.BOOL, 'store_lost', None, None, ),  # 7
+    (8, TType.I64, 'marks_digest', None, None, ),  # 8
 )
 all_structs.append(StatePull)
 StatePull.thrift_spec = (
--- a/dogwooddock/policy/membership.py
+++ b/dogwooddock/policy/membership.py
@@ -151,7 +151,7 @@
 
     def add_mark(self, mark: Mark) -> None:
         """Queue a quarantine mark to be sent with gossip messages."""
-        key = (mark.fingerprint, mark.node_id, mark.released)
+        key = (mark.fingerprint, mark.node_id, mark.lifetime, mark.kind)
         self._updates.put(key, mark, self._retransmit_count())
 
     def tick(self, now: float) -> list[OutgoingMessage]:
--- a/dogwooddock/policy/quarantine.py
+++ b/dogwooddock/policy/quarantine.py
@@ -1,31 +1,38 @@
 """Quarantine of requests that crash the targets they run on."""
 
-__all__ = ["Mark", "Quarantine", "QuarantineStatus", "fingerprint"]
+__all__ = ["Mark", "MarkKind", "Quarantine", "QuarantineStatus", "fingerprint"]
 
 import hashlib
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass, field
-from enum import Enum
+from enum import Enum, IntEnum
+from random import Random
+
+from .unanswered import UnansweredRun
 
-TARGETS_TO_QUARANTINE = 2
 MARK_LIFETIME_S = 1800.0
 MAX_FINGERPRINTS = 4096
+MAX_MARKS_PER_FINGERPRINT = 64
 
 
-def fingerprint(route: str, key: str, body: bytes, path: str = "") -> str:
+def fingerprint(
+    route: str, key: str, body: bytes, path: str = "", method: str = ""
+) -> str:
     """Return a hash that identifies a request across resends.
 
-    It covers the route and the idempotency key, or path and body if there is no key.
+    It covers the route and the idempotency key, or method, path and body if there is no
+    key.
     """
-    identity = key.encode() if key else path.encode() + b"\0" + body
+    identity = key.encode() if key else f"{method} {path}".encode() + b"\0" + body
     return hashlib.sha256(route.encode() + b"\0" + identity).hexdigest()[:24]
 
 
 class QuarantineStatus(Enum):
     """Quarantine status of a request.
 
-    A request is suspect after the loss of one target, and quarantined after the loss of
-    TARGETS_TO_QUARANTINE different ones.
+    A request is suspect after the loss of a target that ran it, and quarantined after
+    the loss of another one that began to run it while it was suspect.
     """
 
     CLEAR = "clear"
@@ -33,39 +40,82 @@
     QUARANTINED = "quarantined"
 
 
+class MarkKind(IntEnum):
+    """What a mark states of the loss of a target.
+
+    LOST: the target was lost while it ran the request. LOST_TO_SUSPECT: besides, the
+    request was suspect when the run began. RELEASED: the loss no longer counts, since
+    a target answered the request or an operator released it.
+    """
+
+    LOST = 0
+    LOST_TO_SUSPECT = 1
+    RELEASED = 2
+
+
 @dataclass(frozen=True, slots=True)
 class Mark:
-    """Record, exchanged between nodes, that a target was lost while it ran a request.
+    """Statement about a request and the loss of a target, exchanged between nodes.
 
     Args:
         fingerprint: Fingerprint of the request.
         node_id: Node of the lost target.
         remaining_s: Time until the mark expires, in seconds.
-        released: Whether the mark instead releases the request, after an operator's
-            command or a success.
+        kind: What the mark states.
+        lifetime: Number that distinguishes the lifetimes of the node's target.
     """
 
     fingerprint: str
     node_id: int
     remaining_s: int
-    released: bool = False
+    kind: MarkKind = MarkKind.LOST
+    lifetime: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _Loss:
+    """The lifetime of a target that ended."""
+
+    node_id: int
+    lifetime: int
+
+
+@dataclass(slots=True)
+class _Statement:
+    """What is known of one loss."""
+
+    kind: MarkKind
+    expires_at: float
+    learned_at: float
+    local: bool
 
 
 @dataclass(slots=True)
 class _Entry:
-    node_ids: set[int] = field(default_factory=set)
-    expires_at: float = 0.0
-    released_until: float = 0.0
+    """The losses of one request, in the order in which they were learned."""
+
+    losses: OrderedDict[_Loss, _Statement] = field(default_factory=OrderedDict)
+
+    def in_force(self, now: float) -> dict[_Loss, _Statement]:
+        """Return the losses that count against the request."""
+        return {
+            loss: statement
+            for loss, statement in list(self.losses.items())
+            if statement.kind is not MarkKind.RELEASED and statement.expires_at > now
+        }
 
 
 @dataclass
 class Quarantine:
     """Track the targets that each request has crashed.
 
-    At most MAX_FINGERPRINTS requests are kept; the least recently marked is dropped.
+    For each loss the highest kind of mark holds, so that nodes can merge marks in any
+    order and as often as they like. At most MAX_FINGERPRINTS requests are kept; the
+    least recently marked is dropped.
     """
 
     _entries: OrderedDict[str, _Entry] = field(default_factory=OrderedDict)
+    _digest: int | None = 0
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -73,58 +123,119 @@
     def status(self, now: float, fingerprint: str) -> QuarantineStatus:
         """Return the quarantine status of the request with a fingerprint."""
         entry = self._entries.get(fingerprint)
-        if entry is None or entry.expires_at <= now or not entry.node_ids:
+        if entry is None:
             return QuarantineStatus.CLEAR
-        if len(entry.node_ids) >= TARGETS_TO_QUARANTINE:
-            return QuarantineStatus.QUARANTINED
-        return QuarantineStatus.SUSPECT
+        return _status(entry.in_force(now))
+
+    def statuses(self, now: float) -> dict[str, str]:
+        """Return the status of each suspect or quarantined request by fingerprint."""
+        listed = {name: self.status(now, name) for name in list(self._entries)}
+        return {
+            name: status.value
+            for name, status in listed.items()
+            if status is not QuarantineStatus.CLEAR
+        }
+
+    # Marks.
 
     def add(self, now: float, mark: Mark) -> bool:
-        """Merge a mark; return whether it changed anything and should be gossiped."""
-        if mark.released:
-            return self.release(now, mark.fingerprint)
-        entry = self._get_or_add_entry(mark.fingerprint)
-        if entry.released_until > now or mark.node_id in entry.node_ids:
-            return False
-        entry.node_ids.add(mark.node_id)
-        entry.expires_at = max(entry.expires_at, now + mark.remaining_s)
-        return True
+        """Merge a mark; return whether it changed anything and should be passed on."""
+        return self._merge(now, mark, local=False)
+
+    def restore(self, now: float, marks: Iterable[Mark]) -> None:
+        """Merge marks that an earlier process of this node made."""
+        for mark in marks:
+            self._merge(now, mark, local=True)
 
     def record_target_loss(
-        self, now: float, fingerprint: str, node_id: int
+        self,
+        now: float,
+        fingerprint: str,
+        node_id: int,
+        lifetime: int = 0,
+        began_at: float | None = None,
     ) -> Mark | None:
-        """Record the loss of a node's target; return the mark to gossip, or None."""
-        mark = Mark(fingerprint, node_id, int(MARK_LIFETIME_S))
-        return mark if self.add(now, mark) else None
+        """Record the loss of a node's target; return the mark to pass on, or None.
+
+        Args:
+            now: Monotonic time, in seconds.
+            fingerprint: Fingerprint of a request that the target ran.
+            node_id: Node of the target.
+            lifetime: Number of the target's lifetime.
+            began_at: Time at which that run began; None for now.
+        """
+        began_at = now if began_at is None else began_at
+        kind = MarkKind.LOST
+        if self._was_suspect(now, fingerprint, began_at, _Loss(node_id, lifetime)):
+            kind = MarkKind.LOST_TO_SUSPECT
+        mark = Mark(fingerprint, node_id, int(MARK_LIFETIME_S), kind, lifetime)
+        return mark if self._merge(now, mark, local=True) else None
+
+    def record_lost_runs(self, now: float, runs: Iterable[UnansweredRun]) -> list[Mark]:
+        """Record the runs that a target's end cut off; return the marks to pass on."""
+        marks = [
+            self.record_target_loss(
+                now,
+                run.fingerprint,
+                run.lifetime.node_id,
+                run.lifetime.born_ms,
+                run.began_at,
+            )
+            for run in runs
+        ]
+        return [mark for mark in marks if mark is not None]
+
+    def _was_suspect(
+        self, now: float, fingerprint: str, at: float, excluded: _Loss
+    ) -> bool:
+        """Report whether another loss was known at a time."""
+        entry = self._entries.get(fingerprint)
+        if entry is None:
+            return False
+        return any(
+            loss != excluded and statement.learned_at <= at
+            for loss, statement in entry.in_force(now).items()
+        )
 
-    def record_success(self, now: float, fingerprint: str) -> Mark | None:
-        """Release a suspect request that was answered; return the mark to gossip."""
-        if self.status(now, fingerprint) is not QuarantineStatus.SUSPECT:
-            return None
-        self.release(now, fingerprint)
-        return Mark(fingerprint, 0, int(MARK_LIFETIME_S), released=True)
+    def record_success(self, now: float, fingerprint: str) -> list[Mark]:
+        """Release a request that a target answered; return the marks to pass on."""
+        if fingerprint not in self._entries:
+            return []
+        return self.release(now, fingerprint)
 
-    def release(self, now: float, fingerprint: str) -> bool:
-        """Release a request; return whether it was marked.
+    def release(self, now: float, fingerprint: str) -> list[Mark]:
+        """Release a request from its known losses; return the marks to pass on.
 
-        Marks for it are ignored for MARK_LIFETIME_S afterwards.
+        Later losses count again.
         """
         entry = self._entries.get(fingerprint)
-        if entry is None or not entry.node_ids:
+        if entry is None:
+            return []
+        remaining_s = int(MARK_LIFETIME_S)
+        marks = [
+            Mark(
+                fingerprint, loss.node_id, remaining_s, MarkKind.RELEASED, loss.lifetime
+            )
+            for loss in entry.in_force(now)
+        ]
+        return [mark for mark in marks if self._merge(now, mark, local=True)]
+
+    def _merge(self, now: float, mark: Mark, local: bool) -> bool:
+        known = self._entries.get(mark.fingerprint)
+        loss = _Loss(mark.node_id, mark.lifetime)
+        statement = known.losses.get(loss) if known is not None else None
+        outdated = statement is not None and statement.kind >= mark.kind
+        if mark.remaining_s <= 0 or outdated:
             return False
-        entry.node_ids.clear()
-        entry.released_until = now + MARK_LIFETIME_S
+        entry = self._get_or_add_entry(mark.fingerprint)
+        expires_at = now + min(mark.remaining_s, MARK_LIFETIME_S)
+        learned_at = statement.learned_at if statement is not None else now
+        entry.losses[loss] = _Statement(mark.kind, expires_at, learned_at, local)
+        if len(entry.losses) > MAX_MARKS_PER_FINGERPRINT:
+            entry.losses.popitem(last=False)
+        self._digest = None
         return True
 
-    def statuses(self, now: float) -> dict[str, str]:
-        """Return the status of each suspect or quarantined request by fingerprint."""
-        listed = {name: self.status(now, name) for name in list(self._entries)}
-        return {
-            name: status.value
-            for name, status in listed.items()
-            if status is not QuarantineStatus.CLEAR
-        }
-
     def _get_or_add_entry(self, fingerprint: str) -> _Entry:
         entry = self._entries.get(fingerprint)
         if entry is None:
@@ -133,3 +244,62 @@
         if len(self._entries) > MAX_FINGERPRINTS:
             self._entries.popitem(last=False)
         return entry
+
+    def expire(self, now: float) -> None:
+        """Drop the marks whose time has passed."""
+        for name, entry in list(self._entries.items()):
+            for loss, statement in list(entry.losses.items()):
+                if statement.expires_at <= now:
+                    del entry.losses[loss]
+                    self._digest = None
+            if not entry.losses:
+                self._entries.pop(name, None)
+
+    # Exchange with other nodes.
+
+    def digest(self) -> int:
+        """Return a 63-bit number that is equal on nodes with equal marks; 0 if none."""
+        if self._digest is None:
+            digest = 0
+            for name, entry in list(self._entries.items()):
+                for loss, statement in list(entry.losses.items()):
+                    digest ^= _hash(name, loss, statement.kind)
+            self._digest = digest
+        return self._digest
+
+    def sample(self, now: float, count: int, rng: Random) -> tuple[Mark, ...]:
+        """Return up to ``count`` marks: the newest, and others at random."""
+        marks = self._marks(now, local_only=False)
+        if len(marks) <= count:
+            return tuple(marks)
+        newest = count // 2
+        return (*marks[-newest:], *rng.sample(marks[:-newest], count - newest))
+
+    def local_marks(self, now: float, count: int) -> tuple[Mark, ...]:
+        """Return the newest marks that this node made, at most ``count``."""
+        return tuple(self._marks(now, local_only=True)[-count:])
+
+    def _marks(self, now: float, local_only: bool) -> list[Mark]:
+        return [
+            Mark(
+                name,
+                loss.node_id,
+                int(statement.expires_at - now),
+                statement.kind,
+                loss.lifetime,
+            )
+            for name, entry in list(self._entries.items())
+            for loss, statement in list(entry.losses.items())
+            if statement.expires_at - now >= 1.0 and (statement.local or not local_only)
+        ]
+
+
+def _status(in_force: dict[_Loss, _Statement]) -> QuarantineStatus:
+    if any(item.kind is MarkKind.LOST_TO_SUSPECT for item in in_force.values()):
+        return QuarantineStatus.QUARANTINED
+    return QuarantineStatus.SUSPECT if in_force else QuarantineStatus.CLEAR
+
+
+def _hash(fingerprint: str, loss: _Loss, kind: MarkKind) -> int:
+    text = f"{fingerprint} {loss.node_id} {loss.lifetime} {int(kind)}"
+    return int.from_bytes(hashlib.sha256(text.encode()).digest()[:8], "big") >> 1
--- a/dogwooddock/targets/gate.py
+++ b/dogwooddock/targets/gate.py
@@ -391,8 +391,7 @@
         except TargetError as exc:
             return self._failure_reply(attempt, record, deadline, exc, target), True
         now = self.deps.clock()
-        mark = self.deps.quarantine.record_success(now, attempt.fingerprint)
-        if mark is not None:
+        for mark in self.deps.quarantine.record_success(now, attempt.fingerprint):
             self.deps.broadcast_mark(mark)
         reply = self._reply(attempt, Outcome.ANSWERED, Reason.NONE)
         reply.status = answer.status
