Notice the end of a target however it ends, and let suspects run one at a time

What users saw: targets kept ending under one request. The main cause: a gate took a target for crashed only if a later connect was refused. A call that waited for a slot was sent even when its request had been quarantined meanwhile.

Now a gate connects to the target after each run that is cut off, and replies only after that, so that marks are there before the caller's node resends. A refused or unanswered connect, a later lifetime in a heartbeat and a 421 each end the lifetime; its runs without an answer are marked, also those cut off later. An ingress that lost the gate marks the run when a later lifetime of that target appears. Suspects run one at a time, so that a crash tells the request that caused it from those beside it.

--- a/dogwooddock/http1/client.py
+++ b/dogwooddock/http1/client.py
@@ -60,7 +60,8 @@
         self._completed_requests = 0
         self._write_paused = False
         self._idle_limit_s = DEFAULT_IDLE_S
-        self.idle_since = self._loop.time()
+        self.opened_at = self._loop.time()
+        self.idle_since = self.opened_at
         self.usable = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/dogwooddock/mesh/fleet.py
+++ b/dogwooddock/mesh/fleet.py
@@ -12,6 +12,7 @@
 from ..policy.outcomes import Outcome, Reason
 from ..policy.readers import ZonePeer
 from ..policy.selection import Candidate, Selector
+from ..policy.unanswered import TargetLifetime, UnansweredRun, UnansweredRuns
 from .calls import MeshCall, MeshReply, NodeRecord
 from .gate import Gate
 from .gatecalls import GateCall
@@ -37,15 +38,21 @@
         "_call_id",
         "_gate",
         "_gate_call",
+        "born_ms",
         "candidate",
+        "fingerprint",
         "kind",
         "link",
         "sent_at",
     )
 
-    def __init__(self, candidate: Candidate, kind: str, sent_at: float):
+    def __init__(
+        self, candidate: Candidate, call: MeshCall, born_ms: int, sent_at: float
+    ):
         self.candidate = candidate
-        self.kind = kind
+        self.kind = call.route
+        self.fingerprint = call.fingerprint
+        self.born_ms = born_ms
         self.sent_at = sent_at
         self._gate: Gate | None = None
         self._gate_call: GateCall | None = None
@@ -69,10 +76,17 @@
         gate: Gate of this node.
         handler: Handles the events of links and provides the state that they send.
         rng: Random source of the choice among targets.
+        on_target_lost: Called with runs whose gate was lost and whose target has ended.
     """
 
     def __init__(
-        self, address: Address, zone: str, gate: Gate, handler: LinkHandler, rng: Random
+        self,
+        address: Address,
+        zone: str,
+        gate: Gate,
+        handler: LinkHandler,
+        rng: Random,
+        on_target_lost: Callable[[list[UnansweredRun]], None],
     ):
         self._loop = asyncio.get_running_loop()
         self.address = address
@@ -83,7 +97,9 @@
         self._links: dict[Address, OutboundLink] = {}
         self._addresses: dict[int, Address] = {}
         self._pool_used_at: dict[str, float] = {}
-        self.members = MemberTable(self._on_pool_change)
+        self._on_target_lost = on_target_lost
+        self._unanswered = UnansweredRuns()
+        self.members = MemberTable(self._on_pool_change, self._on_target_replaced)
         self.selector = Selector(zone)
         self.levels = LevelTable()
 
@@ -102,6 +118,12 @@
         if pool in self._pool_used_at:
             self._dial(records)
 
+    def _on_target_replaced(self, record: NodeRecord) -> None:
+        lifetime = TargetLifetime(node_id_of(record.address), record.born_ms)
+        runs = self._unanswered.take(self._loop.time(), lifetime)
+        if runs:
+            self._on_target_lost(runs)
+
     def _dial(self, records: list[NodeRecord]) -> None:
         for record in records:
             if record.address != self.address:
@@ -165,14 +187,16 @@
         done: Callable[[MeshReply], None],
     ) -> OutboundCall:
         """Send a call to a gate; ``done`` is called once unless it is cancelled."""
-        outbound = OutboundCall(candidate, call.route, self._loop.time())
+        address = self._addresses[candidate.node_id]
+        record = self.members.find(address)
+        born_ms = record.born_ms if record is not None else 0
+        outbound = OutboundCall(candidate, call, born_ms, self._loop.time())
         self.selector.record_sent(candidate)
 
         def on_reply(reply: MeshReply) -> None:
             self._record_reply(outbound, reply)
             done(reply)
 
-        address = self._addresses[candidate.node_id]
         if address == self.address:
             outbound._gate = self._gate
             outbound._gate_call = self._gate.submit(call, on_reply)
@@ -187,6 +211,7 @@
         candidate = outbound.candidate
         if reply.reason is Reason.PEER_FAILED:
             self.selector.record_lost(candidate, now)
+            self._record_unanswered(outbound, now)
             return
         load = reply.load
         failed = reply.outcome is Outcome.UNKNOWN or reply.reason is Reason.TARGET_SHED
@@ -208,6 +233,13 @@
             )
         self.levels.update(str(candidate.node_id), load.level, now)
 
+    def _record_unanswered(self, outbound: OutboundCall, now: float) -> None:
+        """Remember a run at a gate that may be gone together with its target."""
+        lifetime = TargetLifetime(outbound.candidate.node_id, outbound.born_ms)
+        self._unanswered.add(
+            UnansweredRun(lifetime, outbound.fingerprint, outbound.sent_at, now)
+        )
+
     def cancel(self, outbound: OutboundCall) -> None:
         """Cancel a call whose reply is no longer needed."""
         outbound.candidate.outstanding -= 1
--- a/dogwooddock/mesh/gate.py
+++ b/dogwooddock/mesh/gate.py
@@ -19,9 +19,12 @@
 from ..policy.levels import LEVEL_SCALE
 from ..policy.limits import StaticLimit
 from ..policy.outcomes import Outcome, Reason
-from ..policy.quarantine import Quarantine, QuarantineStatus
+from ..policy.quarantine import Mark, Quarantine, QuarantineStatus
+from ..policy.unanswered import UnansweredRun
 from .calls import GateLoad, MeshCall, MeshReply
 from .gatecalls import GateCall, GateTarget, Stage
+from .losswatch import LossWatch, log_target_loss
+from .suspects import SuspectQueue
 from .targetconnections import TargetConnections
 from .wireformat import HeaderFormat
 
@@ -42,15 +45,16 @@
     Args:
         wire: Header format of the platform.
         quarantine: Requests that made targets crash.
-        on_target_lost: Called with the fingerprints of the calls that were running
-            when the target crashed.
+        node_id: This node.
+        on_marks: Called with marks of requests to pass on to other nodes.
     """
 
     def __init__(
         self,
         wire: HeaderFormat,
         quarantine: Quarantine,
-        on_target_lost: Callable[[list[str]], None],
+        node_id: int,
+        on_marks: Callable[[list[Mark]], None],
     ):
         self._loop = asyncio.get_running_loop()
         self._wire = wire
@@ -58,7 +62,10 @@
         self._limit = StaticLimit(INITIAL_SLOTS)
         self.admission = AdmissionController(self._limit, INITIAL_SLOTS)
         self._target: GateTarget | None = None
-        self.connections = TargetConnections(on_target_lost)
+        self.connections = TargetConnections()
+        self.losses = LossWatch(node_id, self.connections, self._on_target_lost)
+        self._on_marks = on_marks
+        self._suspects = SuspectQueue()
         self._waiting: dict[QueuedCall, GateCall] = {}
         self._running: dict[bytes, GateCall] = {}
         self._sweeping = False
@@ -87,8 +94,11 @@
         current = self._target
         if current == target:
             return
-        if current is None or current.target_id != target.target_id:
+        if current is None or current.lifetime != target.lifetime:
+            if current is not None:
+                self.losses.target_ended()
             self.connections.set_target(target.address)
+            self.losses.watch(target.born_ms)
         self._target = target
         self._limit.resize(1, target.slots)
         self.admission.capacity = target.slots
@@ -98,7 +108,14 @@
         self._target = None
         self._refuse_waiting(Reason.DRAINING)
 
+    def _on_target_lost(self, runs: list[UnansweredRun]) -> None:
+        marks = self._quarantine.record_lost_runs(self._loop.time(), runs)
+        log_target_loss(runs, marks)
+        self._on_marks(marks)
+
     def _refuse_waiting(self, reason: Reason) -> None:
+        for held in self._suspects.take_held():
+            self._refuse(held, reason)
         for waiting in self.admission.drop_all():
             gate_call = self._waiting.pop(waiting, None)
             if gate_call is not None:
@@ -144,12 +161,50 @@
             call.caller,
             level_class=call.rank // LEVEL_SCALE,
         )
+        gate_call = GateCall(call, done, queued, arrived_at=self._loop.time())
+        self._arrive(gate_call)
+        return gate_call
+
+    def _arrive(self, gate_call: GateCall) -> None:
+        """Refuse, hold or admit a call; suspects run one at a time."""
         now = self._loop.time()
-        gate_call = GateCall(call, done, queued, arrived_at=now)
-        reason = self._refusal_reason(call, now)
+        reason = self._refusal_reason(gate_call.call, now)
+        status = self._quarantine.status(now, gate_call.call.fingerprint)
         if reason is not Reason.NONE:
             self._refuse(gate_call, reason)
-            return gate_call
+        elif status is QuarantineStatus.SUSPECT and not self._suspects.enter(gate_call):
+            gate_call.timer = self._loop.call_at(
+                gate_call.call.deadline - MIN_REMAINING_S,
+                self._refuse,
+                gate_call,
+                Reason.DEADLINE,
+            )
+        else:
+            self._admit(gate_call, now)
+
+    def _arrive_held(self) -> None:
+        """Let held calls arrive until one of them proceeds as a suspect."""
+        while (held := self._suspects.next_call()) is not None:
+            self._arrive_again(held)
+
+    def recheck_held(self) -> None:
+        """Let held calls arrive that changed marks no longer make suspect."""
+        for held in self._suspects.take_if(self._is_not_suspect):
+            self._arrive_again(held)
+
+    def _is_not_suspect(self, gate_call: GateCall) -> bool:
+        now = self._loop.time()
+        status = self._quarantine.status(now, gate_call.call.fingerprint)
+        return status is not QuarantineStatus.SUSPECT
+
+    def _arrive_again(self, gate_call: GateCall) -> None:
+        if gate_call.timer is not None:
+            gate_call.timer.cancel()
+            gate_call.timer = None
+        self._arrive(gate_call)
+
+    def _admit(self, gate_call: GateCall, now: float) -> None:
+        queued = gate_call.queued
         decision = self.admission.arrive(now, queued)
         if decision.displaced is not None:
             self._refuse(self._waiting.pop(decision.displaced), Reason.DISPLACED)
@@ -160,7 +215,6 @@
             self._schedule_sweep()
         else:
             self._refuse(gate_call, decision.reason)
-        return gate_call
 
     def _refusal_reason(self, call: MeshCall, now: float) -> Reason:
         target = self._target
@@ -170,13 +224,14 @@
             return Reason.WRONG_TARGET
         if self.connections.target_down:
             return Reason.TARGET_UNREACHABLE
-        if (
-            self._quarantine.status(now, call.fingerprint)
-            is QuarantineStatus.QUARANTINED
-        ):
+        if self._is_quarantined(call):
             return Reason.QUARANTINED
         return Reason.NONE
 
+    def _is_quarantined(self, call: MeshCall) -> bool:
+        status = self._quarantine.status(self._loop.time(), call.fingerprint)
+        return status is QuarantineStatus.QUARANTINED
+
     def _refuse(self, gate_call: GateCall, reason: Reason) -> None:
         """Reply not-run, or unknown if the call was already sent to the target once."""
         outcome = Outcome.UNKNOWN if gate_call.resent else Outcome.NOT_RUN
@@ -185,14 +240,19 @@
     def _finish(self, gate_call: GateCall, reply: MeshReply) -> None:
         if gate_call.finished:
             return
-        gate_call.stage = Stage.FINISHED
-        if gate_call.timer is not None:
-            gate_call.timer.cancel()
+        self._end(gate_call)
         self.outcomes[(reply.outcome.value, reply.reason.value)] += 1
         reply.load = self.load()
         reply.below_level = gate_call.below_level
         gate_call.done(reply)
 
+    def _end(self, gate_call: GateCall) -> None:
+        gate_call.stage = Stage.FINISHED
+        if gate_call.timer is not None:
+            gate_call.timer.cancel()
+        if self._suspects.leave(gate_call):
+            self._loop.call_soon(self._arrive_held)
+
     # Queue.
 
     def _schedule_sweep(self) -> None:
@@ -238,7 +298,9 @@
         except OSError:
             self._refuse_waiting(Reason.TARGET_UNREACHABLE)
             self._release(gate_call)
-            self._refuse(gate_call, Reason.TARGET_UNREACHABLE)
+            lost = gate_call.resent
+            reason = Reason.TARGET_LOST if lost else Reason.TARGET_UNREACHABLE
+            self._refuse(gate_call, reason)
             return
         if gate_call.finished or self._target_replaced(gate_call):
             pool.release(conn)
@@ -258,14 +320,17 @@
         call = gate_call.call
         now = self._loop.time()
         remaining_s = call.deadline - now
-        if remaining_s < MIN_REMAINING_S:
+        quarantined = self._is_quarantined(call)
+        if quarantined or remaining_s < MIN_REMAINING_S:
             pool.release(conn)
             self._release(gate_call)
-            self._refuse(gate_call, Reason.DEADLINE)
+            reason = Reason.QUARANTINED if quarantined else Reason.DEADLINE
+            self._refuse(gate_call, reason)
             return
         gate_call.stage = Stage.RUNNING
         gate_call.conn = conn
         gate_call.sent_at = now
+        gate_call.target_lifetime = self.losses.lifetime
         if gate_call.timer is None:
             gate_call.timer = self._loop.call_at(
                 call.deadline + ANSWER_GRACE_S, self._time_out, gate_call
@@ -289,6 +354,7 @@
         gate_call.conn = None
         self._remove_running(gate_call)
         if isinstance(result, Response):
+            self.losses.record_answer(conn)
             pool.release(conn)
             self._on_response(gate_call, result)
         else:
@@ -305,6 +371,7 @@
         failed = answer.status >= 500
         if answer.wrong_target:
             reply.outcome, reply.reason = Outcome.NOT_RUN, Reason.WRONG_TARGET
+            self.losses.target_ended()
             self.refuse_all()
         elif answer.not_run:
             reply.outcome, reply.reason = Outcome.NOT_RUN, Reason.TARGET_SHED
@@ -314,13 +381,22 @@
             reply.headers, reply.body = answer.headers, answer.body
             if failed and gate_call.downstream_failed:
                 reply.reason = Reason.FAILED_BELOW
+            self._record_success(gate_call.call.fingerprint)
         self._release(gate_call, failed)
         self._finish(gate_call, reply)
 
+    def _record_success(self, fingerprint: str) -> None:
+        marks = self._quarantine.record_success(self._loop.time(), fingerprint)
+        if marks:
+            self._on_marks(marks)
+            self.recheck_held()
+
     def _on_failure(
         self, gate_call: GateCall, pool: ConnectionPool, failure: RequestFailure
     ) -> None:
         call = gate_call.call
+        if failure.closed_by_peer and self._target is not None:
+            self.losses.record_cut_off(gate_call)
         likely_idle_close = (
             failure.reused and failure.closed_by_peer and not failure.response_started
         )
@@ -340,9 +416,17 @@
             began=failure.response_started,
         )
         if failure.closed_by_peer:
-            self.connections.add_suspect(call.fingerprint)
+            self._loop.create_task(self._finish_lost(gate_call))
+        else:
+            self._finish_failed(gate_call, Reason.TARGET_FAILED)
+
+    async def _finish_lost(self, gate_call: GateCall) -> None:
+        """Reply after a check of the target, so that marks arrive before the reply."""
+        await self.losses.check()
+        self._finish_failed(gate_call, Reason.TARGET_LOST)
+
+    def _finish_failed(self, gate_call: GateCall, reason: Reason) -> None:
         self._release(gate_call, failed=True)
-        reason = Reason.TARGET_LOST if failure.closed_by_peer else Reason.TARGET_FAILED
         self._finish(gate_call, MeshReply(Outcome.UNKNOWN, reason, reached=True))
 
     def _release(self, gate_call: GateCall, failed: bool = True) -> None:
@@ -367,6 +451,7 @@
     def _abort_run(self, gate_call: GateCall) -> None:
         conn, gate_call.conn = gate_call.conn, None
         if conn is not None:
+            self.losses.record_given_up(gate_call)
             conn.abort()
             self._remove_running(gate_call)
             self._release(gate_call, failed=False)
@@ -380,11 +465,9 @@
             return
         if gate_call.stage is Stage.WAITING:
             self._waiting.pop(gate_call.queued, None)
-            self.admission.withdraw(gate_call.queued)
+            self.admission.withdraw(gate_call.queued)  # No effect on a held call.
         elif gate_call.stage is Stage.RUNNING:
             if not gate_call.call.idempotent:
                 return
             self._abort_run(gate_call)
-        gate_call.stage = Stage.FINISHED
-        if gate_call.timer is not None:
-            gate_call.timer.cancel()
+        self._end(gate_call)
--- a/dogwooddock/mesh/gatecalls.py
+++ b/dogwooddock/mesh/gatecalls.py
@@ -9,6 +9,7 @@
 
 from ..http1.client import ClientConnection
 from ..policy.admission import QueuedCall
+from ..policy.unanswered import TargetLifetime
 from .calls import MeshCall, MeshReply
 
 
@@ -41,6 +42,7 @@
         below_level: Highest admission level reported for its downstream calls, in
             hundredths of an importance class.
         arrived_at: Loop time of its arrival, in seconds.
+        target_lifetime: Target that it was last sent to; None if it was never sent.
     """
 
     call: MeshCall
@@ -54,6 +56,7 @@
     downstream_failed: bool = False
     below_level: int = 0
     arrived_at: float = 0.0
+    target_lifetime: TargetLifetime | None = None
 
     @property
     def finished(self) -> bool:
@@ -69,8 +72,15 @@
         target_id: Identifier of the target.
         address: Address of the target.
         slots: Requests that the target runs at once.
+        born_ms: Start of the target's lifetime, in Unix milliseconds.
     """
 
     target_id: str
     address: tuple[str, int]
     slots: int
+    born_ms: int = 0
+
+    @property
+    def lifetime(self) -> tuple[int, str]:
+        """Return the identifier of one run of a target: start time and target."""
+        return self.born_ms, self.target_id
--- a/dogwooddock/mesh/heartbeats.py
+++ b/dogwooddock/mesh/heartbeats.py
@@ -98,6 +98,7 @@
         """Process a heartbeat; return whether to acknowledge it."""
         if not self._recovered or beat.pool != self._env.pool:
             return False
+        previous = self._tracker.current
         if self._tracker.observe(beat):
             log.info(
                 "target_heartbeat",
@@ -107,12 +108,20 @@
                 born_ms=beat.born_ms,
                 slots=beat.slots,
             )
+            self._report_replacement(previous, beat)
         current = self._tracker.current
         if current is None or current.target_id != beat.target_id:
             return True
         self._apply(current)
         return self._may_acknowledge(current)
 
+    def _report_replacement(self, previous: Heartbeat | None, beat: Heartbeat) -> None:
+        """Report that a target ended without leaving, if a later lifetime shows it."""
+        if previous is None or previous.lifetime == beat.lifetime:
+            return
+        if previous.state is TargetState.READY:
+            self._gate.losses.target_ended()
+
     def on_leave(self, target_id: str, born_ms: int, sequence: int) -> bool:
         """Process a leave message; return whether to acknowledge it."""
         if not self._recovered:
@@ -202,7 +211,9 @@
         return self._wire.healthy_id(result) if isinstance(result, Response) else ""
 
     def _open_gate(self, beat: Heartbeat) -> None:
-        self._gate.serve(GateTarget(beat.target_id, beat.address, beat.slots))
+        self._gate.serve(
+            GateTarget(beat.target_id, beat.address, beat.slots, beat.born_ms)
+        )
         self._publish_record(beat)
 
     def _publish_record(self, beat: Heartbeat) -> None:
--- a/dogwooddock/mesh/members.py
+++ b/dogwooddock/mesh/members.py
@@ -15,10 +15,17 @@
 
     Args:
         on_change: Called with each pool whose records changed.
+        on_target_replaced: Called with the last record of a target that was ready when
+            a later lifetime followed.
     """
 
-    def __init__(self, on_change: Callable[[str], None]):
+    def __init__(
+        self,
+        on_change: Callable[[str], None],
+        on_target_replaced: Callable[[NodeRecord], None],
+    ):
         self._on_change = on_change
+        self._on_target_replaced = on_target_replaced
         self._records: dict[Address, NodeRecord] = {}
         self.version = 0
 
@@ -36,6 +43,9 @@
             changed.add(record.pool)
             if known is not None:
                 changed.add(known.pool)
+                ended = known.born_ms != record.born_ms
+                if ended and known.state is TargetState.READY:
+                    self._on_target_replaced(known)
         for pool in changed:
             self._on_change(pool)
 
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -6,7 +6,7 @@
 import gc
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, replace
 from random import Random
 
@@ -19,6 +19,7 @@
 from ..policy.lifetimes import Heartbeat
 from ..policy.quarantine import Mark, Quarantine
 from ..policy.retries import RetryBudget
+from ..policy.unanswered import UnansweredRun
 from .announcer import Announcer
 from .calls import NodeRecord, StateUpdate
 from .config import ConfigHolder
@@ -28,6 +29,7 @@
 from .heartbeats import TargetMonitor
 from .ingress import Ingress
 from .listeners import Listeners
+from .losswatch import log_target_loss
 from .recordrows import MalformedRecord, decode_record
 from .routing import DesiredState
 from .rows import Row, RowStore
@@ -100,8 +102,12 @@
         self.budget = RetryBudget(
             env.bounds.retry_ratio * RETRY_BUDGET_FRACTION, MAX_RETRY_TOKENS
         )
-        self.gate = Gate(platform.wire, self.quarantine, self._on_target_lost)
-        self.fleet = Fleet(env.peer_listen, env.zone, self.gate, self, rng)
+        self.gate = Gate(
+            platform.wire, self.quarantine, self.node_id, self._publish_marks
+        )
+        self.fleet = Fleet(
+            env.peer_listen, env.zone, self.gate, self, rng, self._on_target_lost
+        )
         self.ingress = Ingress(
             env,
             platform.wire,
@@ -228,6 +234,7 @@
         while True:
             await asyncio.sleep(MAINTENANCE_PERIOD_S)
             self.gate.connections.close_stale()
+            self.quarantine.expire(self._loop.time())
             self._update_retry_limit()
             if self._platform.settings_changed():
                 self.reload()
@@ -396,34 +403,36 @@
         members = self.fleet.members
         members.version = max(members.version, update.members_version)
 
-    def _add_marks(self, marks: tuple[Mark, ...], source: str) -> None:
-        now = self._loop.time()
-        for mark in marks:
-            if self.quarantine.add(now, mark):
-                log.info(
-                    "mark_learned",
-                    fingerprint=mark.fingerprint,
-                    lost_at=mark.node_id,
-                    kind=mark.kind.name.lower(),
-                    source=source,
-                    status=self.quarantine.status(now, mark.fingerprint).value,
-                )
-
-    def _on_target_lost(self, fingerprints: list[str]) -> None:
+    # Quarantine.
+
+    def _on_target_lost(self, runs: list[UnansweredRun]) -> None:
+        marks = self.quarantine.record_lost_runs(self._loop.time(), runs)
+        log_target_loss(runs, marks)
+        self._publish_marks(marks)
+
+    def _publish_marks(self, marks: list[Mark]) -> None:
+        """Tell all peers of marks that this node made, and write them to the store."""
+        if marks:
+            self._broadcast(MarksFrame(tuple(marks)))
+
+    def _add_marks(self, marks: Iterable[Mark], source: str) -> tuple[Mark, ...]:
+        """Merge marks and return those that were new."""
         now = self._loop.time()
-        marks: list[Mark] = []
-        for request in dict.fromkeys(fingerprints):
-            mark = self.quarantine.record_target_loss(now, request, self.node_id)
-            if mark is not None:
-                marks.append(mark)
-        log.warning(
-            "target_crashed",
-            suspects=len(marks),
-            fingerprints=",".join(
-                mark.fingerprint for mark in marks[:MAX_LOGGED_MARKS]
-            ),
-        )
-        self._broadcast(MarksFrame(tuple(marks)))
+        learned = tuple(mark for mark in marks if self.quarantine.add(now, mark))
+        for mark in learned[:MAX_LOGGED_MARKS]:
+            log.info(
+                "mark_learned",
+                fingerprint=mark.fingerprint,
+                kind=mark.kind.name.lower(),
+                lost_at=mark.node_id,
+                born_ms=mark.lifetime,
+                source=source,
+                count=len(learned),
+                status=self.quarantine.status(now, mark.fingerprint).value,
+            )
+        if learned:
+            self.gate.recheck_held()
+        return learned
 
 
 async def _run_with_restarts(job: Callable[[], Awaitable[None]]) -> None:
--- a/dogwooddock/mesh/targetconnections.py
+++ b/dogwooddock/mesh/targetconnections.py
@@ -13,7 +13,6 @@
 MAX_IDLE_NON_IDEMPOTENT_S = 0.2
 BACKOFF_FIRST_S = 0.1
 BACKOFF_MAX_S = 1.0
-MAX_SUSPECTS = 100
 
 log = structlog.get_logger()
 
@@ -24,19 +23,14 @@
     A target may drop an idle connection and reset it when the next request arrives.
     An idempotent request is then sent again. Any other request would have an unknown
     outcome, so it reuses only connections that were idle for a short time.
-
-    Args:
-        on_target_lost: Called with the fingerprints of the calls that were running
-            when the target crashed.
     """
 
-    def __init__(self, on_target_lost: Callable[[list[str]], None]):
+    def __init__(self) -> None:
         self._loop = asyncio.get_running_loop()
-        self._on_target_lost = on_target_lost
+        self.on_unreachable: Callable[[], None] = lambda: None
         self._pool: ConnectionPool | None = None
         self._down_until = 0.0
         self._backoff_s = BACKOFF_FIRST_S
-        self._suspects: list[str] = []
         self.opened = 0
 
     @property
@@ -82,17 +76,9 @@
             log.warning("target_unreachable", error=repr(exc))
             self._down_until = self._loop.time() + self._backoff_s
             self._backoff_s = min(BACKOFF_MAX_S, self._backoff_s * 2)
-        if isinstance(exc, ConnectionRefusedError) and self._suspects:
-            suspects, self._suspects = self._suspects, []
-            self._on_target_lost(suspects)
-
-    def add_suspect(self, fingerprint: str) -> None:
-        """Record a call whose connection was reset, perhaps by a crash of the target.
-
-        If the next connect is refused, the recorded calls are reported as lost.
-        """
-        self._suspects.append(fingerprint)
-        del self._suspects[:-MAX_SUSPECTS]
+        # A target that has too many connections resets a new one.
+        if not isinstance(exc, ConnectionResetError):
+            self.on_unreachable()
 
     def close_stale(self) -> None:
         """Close idle connections that the target may be about to close."""
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -95,7 +95,7 @@
     ],
 )
 def test_newest_record_wins_in_any_order(records, usable):
-    members = MemberTable(lambda pool: None)
+    members = MemberTable(lambda pool: None, lambda record: None)
     for item in records:
         members.merge([item])
     assert bool(members.ready_records("p")) is usable
