Keep marks as state that nodes exchange and store, instead of telling them once

Now each probe carries a digest of the sender's marks, and a peer whose digest differs sends up to 32 of its own. Links probe when they connect, and each node probes one random link a second, so what was missed arrives from any node that knows it. A node writes the marks it made into its row of the members table, at most once a second, and restores them from it when it starts; store readers pass on what they read there.

The same cause elsewhere in the mesh: a reader that read more than 32 changed records told its zone nothing; it now sends a probe with its version, on which peers pull. The probe of the random link also repeats configuration version, member version, drain state and store state on links that are never idle, where no probe was sent before.

--- a/dogwooddock/mesh/announcer.py
+++ b/dogwooddock/mesh/announcer.py
@@ -1,4 +1,4 @@
-"""Write this node's record to the store, retrying outages and lost replies."""
+"""Write this node's record and marks to the store, retrying after failures."""
 
 __all__ = ["Announcer"]
 
@@ -8,10 +8,12 @@
 import structlog
 
 from ..errors import PlatformError
+from ..policy.quarantine import Quarantine
 from .calls import NodeRecord
 from .recordrows import (
     MEMBERS_TABLE,
     MalformedRecord,
+    decode_marks,
     decode_record,
     encode_record,
     record_key,
@@ -20,12 +22,14 @@
 
 BACKOFF_FIRST_S = 0.1
 BACKOFF_MAX_S = 1.0
+MARKS_WRITE_PERIOD_S = 1.0
+MAX_STORED_MARKS = 100
 
 log = structlog.get_logger()
 
 
 class Announcer:
-    """Keep this node's row in the store up to date with its newest record.
+    """Keep this node's row in the store up to date with its newest record and marks.
 
     Each write is conditional on the version that it replaces, so a write that the
     store executes late cannot overwrite a newer one.
@@ -34,12 +38,23 @@
         store: The store.
         zone: Availability zone of this node; names the table part that holds the row.
         address: Peer address of this node; the key of the row is built from it.
+        quarantine: Provides the marks that this node made, and gets those that an
+            earlier process of it made.
         rng: Source of the jitter of retry delays.
     """
 
     def __init__(
-        self, store: RowStore, zone: str, address: tuple[str, int], rng: Random
+        self,
+        store: RowStore,
+        zone: str,
+        address: tuple[str, int],
+        quarantine: Quarantine,
+        rng: Random,
     ):
+        self._loop = asyncio.get_running_loop()
+        self._quarantine = quarantine
+        self._marks_pending = False
+        self._marks_written_at = -MARKS_WRITE_PERIOD_S
         self._store = store
         self._row_id = (MEMBERS_TABLE, zone, record_key(address))
         self._rng = rng
@@ -59,10 +74,21 @@
             self._desired = record
             self._wake.set()
 
+    def announce_marks(self) -> None:
+        """Write the marks that this node made, at most once a period."""
+        if self._marks_pending:
+            return
+        self._marks_pending = True
+        self._loop.call_at(
+            max(self._loop.time(), self._marks_written_at + MARKS_WRITE_PERIOD_S),
+            self._wake.set,
+        )
+
     async def recover(self) -> NodeRecord | None:
         """Read the record that an earlier process of this node wrote.
 
-        Also remembers the version of the row, on which the next write depends.
+        Also restores the marks of that process, and remembers the version of the row,
+        on which the next write depends.
 
         Returns:
             The record, or None if the row is absent or malformed.
@@ -81,6 +107,7 @@
 
     def _decode(self, row: Row) -> NodeRecord | None:
         try:
+            self._quarantine.restore(self._loop.time(), decode_marks(row.value))
             return decode_record(row.value)
         except MalformedRecord as exc:
             log.warning("record_malformed", key=row.key, error=str(exc))
@@ -103,19 +130,27 @@
 
     async def _write(self) -> None:
         record = self._desired
-        if record is None or record == self._written:
+        if record is None or (record == self._written and not self._marks_pending):
             return
         if self._version is None:
             await self.recover()
         assert self._version is not None
         version = self._version
         self._version = None
-        result = await self._store.transact(
-            [ExpectedVersion(*self._row_id, version)],
-            [Change(*self._row_id, encode_record(record))],
-        )
+        marks = self._quarantine.local_marks(self._loop.time(), MAX_STORED_MARKS)
+        self._marks_pending = False
+        self._marks_written_at = self._loop.time()
+        try:
+            result = await self._store.transact(
+                [ExpectedVersion(*self._row_id, version)],
+                [Change(*self._row_id, encode_record(record, marks))],
+            )
+        except PlatformError:
+            self._marks_pending = True
+            raise
         if result.applied:
             self._version = result.version
             self._written = record
         else:
+            self._marks_pending = True
             self._wake.set()
--- a/dogwooddock/mesh/fleet.py
+++ b/dogwooddock/mesh/fleet.py
@@ -250,6 +250,12 @@
         for link in self._links.values():
             link.send(frame)
 
+    def probe_random_link(self, rng: Random) -> None:
+        """Probe one link that is up, which exchanges state in both directions."""
+        links = [link for link in self._links.values() if link.is_up]
+        if links:
+            rng.choice(links).probe()
+
     def dial_contacts(self, addresses: tuple[Address, ...]) -> None:
         """Connect to the contact nodes of the settings."""
         for address in addresses:
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -30,7 +30,7 @@
 from .ingress import Ingress
 from .listeners import Listeners
 from .losswatch import log_target_loss
-from .recordrows import MalformedRecord, decode_record
+from .recordrows import MalformedRecord, decode_marks, decode_record
 from .routing import DesiredState
 from .rows import Row, RowStore
 from .storereader import StoreReader
@@ -46,6 +46,8 @@
 MAX_PUSHED_RECORDS = 32
 EXIT_MARGIN_S = 0.6
 MAX_LOGGED_MARKS = 8
+SYNC_PERIOD_S = 1.0
+MAX_SYNCED_MARKS = 32
 MAINTENANCE_PERIOD_S = 1.0
 JOB_RESTART_DELAY_S = 1.0
 GC_THRESHOLD = 50_000
@@ -92,6 +94,7 @@
         self.env = env
         self._platform = platform
         self._loop = asyncio.get_running_loop()
+        self._rng = rng
         self._tasks: list[asyncio.Task[None]] = []
         self._pulled_version = 0
         self._pulled_at = 0.0
@@ -127,7 +130,9 @@
             self._broadcast_state,
             rng,
         )
-        self.announcer = Announcer(platform.store, env.zone, env.peer_listen, rng)
+        self.announcer = Announcer(
+            platform.store, env.zone, env.peer_listen, self.quarantine, rng
+        )
         self.target_monitor = TargetMonitor(
             env,
             self.gate,
@@ -166,7 +171,7 @@
             self.target_monitor.recover,
             self.announcer.run,
         ]
-        jobs += [self.fleet.maintain_links, self._run_maintenance]
+        jobs += [self.fleet.maintain_links, self._run_maintenance, self._run_sync]
         self._tasks = [self._loop.create_task(_run_with_restarts(job)) for job in jobs]
         self.fleet.dial_contacts(env.contacts)
         gc.collect()
@@ -239,6 +244,15 @@
             if self._platform.settings_changed():
                 self.reload()
 
+    async def _run_sync(self) -> None:
+        """Exchange state with one random peer per period.
+
+        What a peer missed when it was told of a change, it learns here from any node.
+        """
+        while True:
+            await asyncio.sleep(SYNC_PERIOD_S * self._rng.uniform(0.8, 1.2))
+            self.fleet.probe_random_link(self._rng)
+
     def _update_retry_limit(self) -> None:
         """Set the retry token limit to this node's share of the fleet's allowance."""
         nodes = max(1, len(self.fleet.members))
@@ -279,16 +293,23 @@
 
     def _on_member_rows(self, rows: tuple[Row, ...], version: int) -> None:
         records = []
+        marks: list[Mark] = []
         for row in rows:
             if row.removed:
                 continue
             try:
                 records.append(decode_record(row.value))
+                marks += decode_marks(row.value)
             except MalformedRecord as exc:
                 log.warning("record_malformed", key=row.key, error=str(exc))
         self.fleet.members.merge(records)
         self.fleet.members.version = max(self.fleet.members.version, version)
-        if 0 < len(records) <= MAX_PUSHED_RECORDS:
+        learned = self._add_marks(marks, "store")
+        if learned:
+            self.links.broadcast(MarksFrame(learned), zone=self.env.zone)
+        if len(records) > MAX_PUSHED_RECORDS:
+            self.links.broadcast(self.probe(reply=True), zone=self.env.zone)
+        elif records:
             update = StateUpdate(0, b"", tuple(records), 0)
             self.links.broadcast(PushFrame(update), zone=self.env.zone)
 
@@ -327,6 +348,7 @@
             self.target_monitor.record,
             self.env.zone,
             self.store_reader.store_lost,
+            self.quarantine.digest(),
         )
 
     def on_config_version(self, link: Link, version: int) -> None:
@@ -369,6 +391,7 @@
             pulled = self._request_newer_config(link, frame.config_version)
             if not pulled and self._should_pull_members(link, frame.members_version):
                 self._pull(link)
+            self._send_missing_marks(link, frame.marks_digest)
         elif isinstance(frame, PullFrame):
             link.send(PushFrame(self._build_update(frame)))
         elif isinstance(frame, PushFrame):
@@ -414,6 +437,14 @@
         """Tell all peers of marks that this node made, and write them to the store."""
         if marks:
             self._broadcast(MarksFrame(tuple(marks)))
+            self.announcer.announce_marks()
+
+    def _send_missing_marks(self, link: Link, digest: int) -> None:
+        """Send marks to a peer whose set of marks differs."""
+        if digest != self.quarantine.digest() and len(self.quarantine):
+            now = self._loop.time()
+            marks = self.quarantine.sample(now, MAX_SYNCED_MARKS, self._rng)
+            link.send(MarksFrame(marks))
 
     def _add_marks(self, marks: Iterable[Mark], source: str) -> tuple[Mark, ...]:
         """Merge marks and return those that were new."""
--- a/dogwooddock/peers/links.py
+++ b/dogwooddock/peers/links.py
@@ -225,8 +225,7 @@
         self.peer_accepting = True
         self.peer_store_lost = False
         self._link = link
-        link.send(self._handler.probe(reply=False))
-        self._probe_sent_at = self._loop.time()
+        self.probe()
 
     def call(self, call: MeshCall, on_reply: Callable[[MeshReply], None]) -> int:
         """Send a call on a connected link and return its call id.
@@ -296,8 +295,13 @@
             return
         probe_after_s = PROBE_AFTER_BUSY_S if self._pending else PROBE_AFTER_IDLE_S
         if silent_s > probe_after_s and not probe_unanswered:
-            self._probe_sent_at = now
-            link.send(self._handler.probe(reply=False))
+            self.probe()
+
+    def probe(self) -> None:
+        """Send this node's state; the peer replies with its own."""
+        if self._link is not None:
+            self._probe_sent_at = self._loop.time()
+            self._link.send(self._handler.probe(reply=False))
 
     def close(self) -> None:
         """Close the link permanently; it is not dialled again."""
