Bound what an answer may take, in its head, its framing and in memory

A target may send bytes that are no answer without end. Only whole header fields and the body were counted: an endless status line, header name or value, chunk extension or trailer, endless interim responses and endless responses to other requests were read until the deadline, and each answer could hold 64 MB.

Now 64 KB in a row that complete neither a head nor a part of a body end the answer, as do 16 interim responses or 8 of other requests. A body may have 16 MB, and all answers that a gate is receiving together 32 MB; over that the largest fails. The caller gets 502, unknown; an idempotent request is resent within the retry budget. The connection is aborted at once.

--- a/dogwooddock/http1/client.py
+++ b/dogwooddock/http1/client.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 client connections for asyncio, without pipelining."""
 
-__all__ = ["ClientConnection", "ConnectionPool", "RequestFailure"]
+__all__ = ["ClientConnection", "ConnectionPool", "RequestFailure", "ResponseMemory"]
 
 import asyncio
 from collections.abc import Callable
@@ -11,7 +11,8 @@
 from .sockets import tune_socket
 
 MAX_HEADER_BYTES = 64 * 1024
-MAX_BODY_BYTES = 64 * 1024 * 1024
+MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_SKIPPED_RESPONSES = 8
 DEFAULT_IDLE_S = 4.0
 # Idle connections are reused only for this fraction of the server's keep-alive
 # timeout; later, the server could close one while a request is on its way.
@@ -47,11 +48,39 @@
     return True
 
 
+class ResponseMemory:
+    """Bound the bytes that incomplete responses hold on all connections together.
+
+    Args:
+        max_bytes: Bound, in bytes.
+    """
+
+    def __init__(self, max_bytes: int):
+        self._max_bytes = max_bytes
+        self._held: dict[ClientConnection, int] = {}
+        self.total_bytes = 0
+
+    def set_held(self, conn: "ClientConnection", size: int) -> None:
+        """Record what a connection holds; fail the largest response over the bound."""
+        self.total_bytes += size - self._held.pop(conn, 0)
+        if size:
+            self._held[conn] = size
+        if self.total_bytes > self._max_bytes:
+            largest = max(self._held, key=self._held.__getitem__)
+            largest.fail("the responses in progress exceed the memory for them")
+
+
 class ClientConnection(asyncio.Protocol):
-    """One connection to a server; it carries one request at a time."""
+    """One connection to a server; it carries one request at a time.
 
-    def __init__(self) -> None:
+    Args:
+        memory: Bound on what incomplete responses hold, or None.
+    """
+
+    def __init__(self, memory: ResponseMemory | None = None) -> None:
         self._loop = asyncio.get_running_loop()
+        self._memory = memory
+        self._skipped_responses = 0
         self._parser = ResponseParser(MAX_HEADER_BYTES, MAX_BODY_BYTES)
         self._on_result: Callable[[Result], None] | None = None
         self._matches: ResponseMatcher = _accept_any
@@ -119,6 +148,7 @@
         self._on_result = on_result
         self._matches = matches
         self._response_started = False
+        self._skipped_responses = 0
         self._transport.write(data)
 
     async def exchange(self, data: bytes) -> Result:
@@ -141,17 +171,23 @@
         try:
             responses = self._parser.feed(data)
         except HttpError as exc:
-            self._fail(str(exc), closed_by_peer=False)
+            self.fail(str(exc))
             return
         for index, response in enumerate(responses):
             if self._matches(response):
                 extra_data = index + 1 < len(responses) or self._parser.in_message
                 self._finish(response, extra_data)
                 return
+        self._skipped_responses += len(responses)
+        if self._skipped_responses > MAX_SKIPPED_RESPONSES:
+            self.fail("the responses of other requests do not end")
+        elif self._memory is not None:
+            self._memory.set_held(self, self._parser.buffered_bytes)
 
     def _finish(self, response: Response, extra_data: bool) -> None:
         """Complete the request; close the connection if it cannot be reused."""
         on_result, self._on_result = self._on_result, None
+        self._drop_buffer()
         self._completed_requests += 1
         self.idle_since = self._loop.time()
         self._update_idle_limit(response)
@@ -166,8 +202,20 @@
             if name.lower() == b"timeout" and value.isdigit():
                 self._idle_limit_s = int(value) * KEEP_ALIVE_FRACTION
 
+    def fail(self, cause: str) -> None:
+        """Close the connection and fail its request, whose response is unusable."""
+        self._fail(cause, closed_by_peer=False)
+
+    def _drop_buffer(self) -> None:
+        if self._memory is not None:
+            self._memory.set_held(self, 0)
+
     def _fail(self, cause: str, closed_by_peer: bool) -> None:
         on_result, self._on_result = self._on_result, None
+        self._drop_buffer()
+        if not closed_by_peer and self.usable:
+            self._transport.abort()
+            self.usable = False
         self.close()
         if on_result is not None:
             on_result(
@@ -208,6 +256,7 @@
     def abort(self) -> None:
         """Abort the connection without reporting a result for its request."""
         self._on_result = None
+        self._drop_buffer()
         if self.usable:
             self.usable = False
             self._transport.abort()
@@ -224,10 +273,12 @@
 
     Args:
         address: Address of the server.
+        memory: Bound on what incomplete responses hold, or None.
     """
 
-    def __init__(self, address: tuple[str, int]):
+    def __init__(self, address: tuple[str, int], memory: ResponseMemory | None = None):
         self.address = address
+        self._memory = memory
         self._idle: list[ClientConnection] = []
 
     def acquire_idle(self, max_idle_s: float) -> ClientConnection | None:
@@ -258,7 +309,9 @@
         """
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            _, conn = await loop.create_connection(ClientConnection, *self.address)
+            _, conn = await loop.create_connection(
+                lambda: ClientConnection(self._memory), *self.address
+            )
         return conn
 
     def release(self, conn: ClientConnection) -> None:
--- a/dogwooddock/http1/messages.py
+++ b/dogwooddock/http1/messages.py
@@ -36,6 +36,7 @@
     }
 )
 UNREPEATABLE_HEADERS = frozenset({b"host", b"content-length", b"transfer-encoding"})
+MAX_INTERIM_RESPONSES = 16
 BODILESS_STATUSES = frozenset({204, 304})
 
 _STATUS_LINES = {
@@ -151,7 +152,7 @@
         return self._chunks[0] if len(self._chunks) == 1 else b"".join(self._chunks)
 
 
-def _callback_error(exc: httptools.HttpParserError) -> HttpError | None:
+def _callback_error(exc: Exception) -> HttpError | None:
     """Return the HttpError that a callback raised inside the parser, or None."""
     for chained in (exc.__context__, exc.__cause__):
         if isinstance(chained, HttpError):
@@ -230,7 +231,8 @@
     """Parse the bytes of a connection into responses.
 
     Args:
-        max_header_bytes: Largest header block, in bytes.
+        max_header_bytes: Largest header block, in bytes; also the most bytes in a row
+            that complete neither a head nor any part of a body.
         max_body_bytes: Largest body, in bytes.
     """
 
@@ -238,6 +240,13 @@
         super().__init__(max_header_bytes, max_body_bytes)
         self._parser = httptools.HttpResponseParser(self)
         self._completed: list[Response] = []
+        self._framing_bytes = 0
+        self._interim_responses = 0
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of the part of an incomplete response that is held."""
+        return self._framing_bytes + self._body_bytes if self.in_message else 0
 
     def feed(self, data: bytes) -> list[Response]:
         """Parse bytes and return the responses that they complete.
@@ -245,11 +254,18 @@
         Raises:
             HttpError: The response is malformed or exceeds a limit.
         """
+        held_before = self._body_bytes
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
-            raise HttpError(502, "the response cannot be read") from exc
+            error = _callback_error(exc)
+            cause = f": {error}" if error is not None else ""
+            raise HttpError(502, f"the response cannot be read{cause}") from exc
         completed, self._completed = self._completed, []
+        progressed = bool(completed) or self._body_bytes != held_before
+        self._framing_bytes = 0 if progressed else self._framing_bytes + len(data)
+        if self._framing_bytes > self.max_header_bytes:
+            raise HttpError(502, "the response's head or framing does not end")
         return completed
 
     def feed_eof(self) -> Response | None:
@@ -267,9 +283,14 @@
         self.in_message = False
         status = self._parser.get_status_code()
         if status >= 200:
+            self._interim_responses = 0
             self._completed.append(
                 self._build_response(self._parser.should_keep_alive())
             )
+            return
+        self._interim_responses += 1
+        if self._interim_responses > MAX_INTERIM_RESPONSES:
+            raise HttpError(502, "the interim responses do not end")
 
     def _build_response(self, keep_alive: bool) -> Response:
         return Response(
--- a/dogwooddock/mesh/targetconnections.py
+++ b/dogwooddock/mesh/targetconnections.py
@@ -7,12 +7,14 @@
 
 import structlog
 
-from ..http1.client import ClientConnection, ConnectionPool
+from ..http1.client import ClientConnection, ConnectionPool, ResponseMemory
 
 MAX_IDLE_IDEMPOTENT_S = 4.0
 MAX_IDLE_NON_IDEMPOTENT_S = 0.2
 BACKOFF_FIRST_S = 0.1
 BACKOFF_MAX_S = 1.0
+# Of all answers that are being received; a whole answer is copied a few times.
+MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 
 log = structlog.get_logger()
 
@@ -29,6 +31,7 @@
         self._loop = asyncio.get_running_loop()
         self.on_unreachable: Callable[[], None] = lambda: None
         self._pool: ConnectionPool | None = None
+        self._memory = ResponseMemory(MAX_RESPONSE_BYTES)
         self._down_until = 0.0
         self._backoff_s = BACKOFF_FIRST_S
         self.opened = 0
@@ -41,7 +44,7 @@
     def set_target(self, address: tuple[str, int]) -> None:
         """Close idle connections and connect to a new target from now on."""
         self.close()
-        self._pool = ConnectionPool(address)
+        self._pool = ConnectionPool(address, self._memory)
         self._down_until = 0.0
 
     @property
