Exchange and store the marks that quarantine a request before all others

A loss of a target with many calls makes as many marks, while a probe answers with 32 and a node's row holds 100. The newest went first, so the two marks that stop a request could stay behind 300 others: the new test failed so before. They now go first. A held call counts as work for a node that stops, as a waiting one does.

A property of the merge is tested as well: replicas that get the same marks in any order, twice, agree in digest and status.

--- a/dogwooddock/mesh/gate.py
+++ b/dogwooddock/mesh/gate.py
@@ -87,7 +87,7 @@
     @property
     def busy(self) -> bool:
         """Report whether any call is waiting or running."""
-        return bool(self._waiting or self.admission.in_flight)
+        return bool(self._waiting or self.admission.in_flight or self._suspects.holding)
 
     def serve(self, target: GateTarget) -> None:
         """Accept calls for a target, which replaces the previous one."""
--- a/dogwooddock/mesh/suspects.py
+++ b/dogwooddock/mesh/suspects.py
@@ -40,6 +40,11 @@
             return None
         return self._held.popleft()
 
+    @property
+    def holding(self) -> bool:
+        """Report whether any call is held."""
+        return bool(self._held)
+
     def take_if(self, is_ready: Callable[[GateCall], bool]) -> list[GateCall]:
         """Remove and return the held calls that need not wait any longer."""
         ready = [held for held in self._held if is_ready(held)]
--- a/dogwooddock/policy/quarantine.py
+++ b/dogwooddock/policy/quarantine.py
@@ -268,19 +268,20 @@
         return self._digest
 
     def sample(self, now: float, count: int, rng: Random) -> tuple[Mark, ...]:
-        """Return up to ``count`` marks: the newest, and others at random."""
+        """Return up to ``count`` marks: the most important, and others at random."""
         marks = self._marks(now, local_only=False)
         if len(marks) <= count:
             return tuple(marks)
-        newest = count // 2
-        return (*marks[-newest:], *rng.sample(marks[:-newest], count - newest))
+        first = count // 2
+        return (*marks[-first:], *rng.sample(marks[:-first], count - first))
 
     def local_marks(self, now: float, count: int) -> tuple[Mark, ...]:
-        """Return the newest marks that this node made, at most ``count``."""
+        """Return the most important marks that this node made, at most ``count``."""
         return tuple(self._marks(now, local_only=True)[-count:])
 
     def _marks(self, now: float, local_only: bool) -> list[Mark]:
-        return [
+        """Return marks from old to new; those that quarantine a request come last."""
+        marks = [
             Mark(
                 name,
                 loss.node_id,
@@ -292,6 +293,7 @@
             for loss, statement in list(entry.losses.items())
             if statement.expires_at - now >= 1.0 and (statement.local or not local_only)
         ]
+        return sorted(marks, key=lambda mark: mark.kind is MarkKind.LOST_TO_SUSPECT)
 
 
 def _status(in_force: dict[_Loss, _Statement]) -> QuarantineStatus:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,11 +1,14 @@
 """Quarantine of requests that crash their targets."""
 
+from random import Random
+
 import pytest
 
 from dogwooddock.errors import TargetError
 from dogwooddock.policy.quarantine import (
     MAX_FINGERPRINTS,
     Mark,
+    MarkKind,
     Quarantine,
     QuarantineStatus,
     fingerprint,
@@ -92,3 +95,34 @@
         assert fleet.send("GET", "/browse?good=1").outcome == "answered"
     finally:
         fleet.close()
+
+
+def test_marks_of_quarantined_requests_are_exchanged_and_stored_first():
+    quarantine = Quarantine()
+    quarantine.record_target_loss(0.0, "bad", 1)
+    quarantine.record_target_loss(1.0, "bad", 2)
+    for index in range(300):
+        quarantine.record_target_loss(2.0, f"fp-{index}", 3)
+    for marks in (
+        quarantine.sample(3.0, 32, Random(1)),
+        quarantine.local_marks(3.0, 100),
+    ):
+        assert ("bad", MarkKind.LOST_TO_SUSPECT) in [
+            (m.fingerprint, m.kind) for m in marks
+        ]
+
+
+def test_merged_marks_agree_in_any_order():
+    source = Quarantine()
+    marks = [source.record_target_loss(float(n), "fp", n) for n in range(3)]
+    marks += source.record_success(4.0, "fp")
+    marks.append(source.record_target_loss(5.0, "fp", 7))
+    for seed in range(20):
+        replica = Quarantine()
+        for mark in Random(seed).sample(marks * 2, len(marks) * 2):
+            replica.add(6.0, mark)
+        assert replica.digest() == source.digest()
+        assert replica.status(6.0, "fp") is QuarantineStatus.SUSPECT
+        assert not any(
+            replica.add(6.0, mark) for mark in source.sample(6.0, 99, Random())
+        )
