--- a/dogwooddock/callers/ingress.py
+++ b/dogwooddock/callers/ingress.py
@@ -315,7 +315,9 @@
         if reply.outcome != Outcome.NOT_RUN:
             progress.may_have_run = True
         if reply.reason == Reason.TARGET_LOST:
-            self.deps.quarantine.record_target_loss(now, attempt.fingerprint, node_id)
+            self.deps.quarantine.record_target_loss(
+                now, attempt.fingerprint, node_id, reply.target_lifetime or 0, now
+            )
         progress.ticket = reply.ticket or ""
         return reply, Reason(reply.reason)
 
--- a/dogwooddock/node.py
+++ b/dogwooddock/node.py
@@ -195,7 +195,11 @@
             "",
         )
         callbacks = GossipCallbacks(
-            self._on_members, self._on_newer_config, self._on_mark
+            self._on_members,
+            self._on_newer_config,
+            self._on_mark,
+            self.quarantine.digest,
+            lambda count: self.quarantine.sample(time.monotonic(), count, self.rng),
         )
         self.sync = ConfigSync(
             self.config,
--- a/dogwooddock/peers/codec.py
+++ b/dogwooddock/peers/codec.py
@@ -97,6 +97,7 @@
         message.config_version,
         [to_wire_member(member) for member in message.members],
         [to_wire_mark(mark) for mark in message.marks],
+        message.marks_digest,
     )
     return serialize(wire, protocol_factory=_FACTORY)
 
@@ -117,6 +118,7 @@
             wire.config_version,
             tuple(from_wire_member(member) for member in wire.members),
             tuple(from_wire_mark(mark) for mark in wire.marks),
+            wire.marks_digest or 0,
         )
     except Exception as exc:
         raise PeerError(f"datagram is not a gossip message: {exc}") from exc
--- a/dogwooddock/peers/gossip.py
+++ b/dogwooddock/peers/gossip.py
@@ -20,6 +20,8 @@
 
 MAX_DATAGRAM_BYTES = 8192
 TICK_S = 0.1
+MARKS_REPLY_PERIOD_S = 0.2
+MAX_REPLIED_MARKS = 12
 
 log = structlog.get_logger()
 
@@ -76,11 +78,15 @@
             caught up.
         on_mark: Called with every received quarantine mark; returns whether the mark
             was new and is to be passed on.
+        marks_digest: Returns the digest of this node's quarantine marks.
+        sample_marks: Returns some of these marks, at most as many as its argument.
     """
 
     on_members_changed: Callable[[dict[int, Member]], None]
     on_newer_config: Callable[[int, Member], None]
     on_mark: Callable[[Mark], bool]
+    marks_digest: Callable[[], int]
+    sample_marks: Callable[[int], tuple[Mark, ...]]
 
 
 class GossipActor(pykka.ThreadingActor):
@@ -100,6 +106,7 @@
         self._sock = sock
         self._callbacks = callbacks
         self._config_seen = 0
+        self._marks_replied_at = 0.0
         self.sent_messages = 0
         self.sent_bytes = 0
 
@@ -108,6 +115,7 @@
         now = time.monotonic()
         membership = self._membership
         outgoing: list[OutgoingMessage] = []
+        membership.marks_digest = self._callbacks.marks_digest()
         match message:
             case _Tick():
                 outgoing = membership.tick(now)
@@ -142,8 +150,23 @@
             if self._callbacks.on_mark(mark):
                 self._membership.add_mark(mark)
         self._membership.received_marks.clear()
+        if message.marks_digest != self._callbacks.marks_digest():
+            outgoing += self._reply_with_marks(now, source)
         return outgoing
 
+    def _reply_with_marks(
+        self, now: float, source: tuple[str, int]
+    ) -> list[OutgoingMessage]:
+        """Send marks to a peer whose marks differ, at most once a period."""
+        if now - self._marks_replied_at < MARKS_REPLY_PERIOD_S:
+            return []
+        marks = self._callbacks.sample_marks(MAX_REPLIED_MARKS)
+        if not marks:
+            return []
+        self._marks_replied_at = now
+        self._membership.marks_digest = self._callbacks.marks_digest()
+        return self._membership.reply_with_marks(source, marks)
+
     def _send(self, outgoing: list[OutgoingMessage]) -> None:
         for outgoing_message in outgoing:
             data = encode_gossip(outgoing_message.message)
--- a/dogwooddock/policy/members.py
+++ b/dogwooddock/policy/members.py
@@ -75,6 +75,7 @@
         config_version: Active configuration version of the sender.
         members: Member records for the receiver to merge.
         marks: Quarantine marks for the receiver to merge.
+        marks_digest: Digest of the quarantine marks that the sender knows.
     """
 
     kind: MessageKind
@@ -84,6 +85,7 @@
     config_version: int
     members: tuple[Member, ...] = ()
     marks: tuple[Mark, ...] = ()
+    marks_digest: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/dogwooddock/policy/membership.py
+++ b/dogwooddock/policy/membership.py
@@ -27,7 +27,7 @@
 MAX_UPDATES_PER_MESSAGE = 12
 BUDGET_BYTES_PER_S = 2600.0
 BUDGET_BURST_BYTES = 12_000.0
-HEADER_BYTES = 70
+HEADER_BYTES = 81
 UPDATE_BYTES = 52
 
 
@@ -64,6 +64,7 @@
         members: Known members by identifier, this process included.
         changed: Whether ``members`` has changed; the caller resets it.
         received_marks: Received quarantine marks; the caller handles and removes them.
+        marks_digest: Digest of the quarantine marks of this node.
         refutations: Number of times that this process refuted a suspicion or its death.
     """
 
@@ -75,6 +76,7 @@
     members: dict[int, Member] = field(default_factory=dict)
     changed: bool = True
     received_marks: list[Mark] = field(default_factory=list)
+    marks_digest: int = 0
     refutations: int = 0
     _probe_order: deque[int] = field(default_factory=deque)
     _suspected_at: dict[int, float] = field(default_factory=dict)
@@ -489,9 +491,28 @@
             self.config_version,
             tuple(members),
             tuple(marks),
+            self.marks_digest,
         )
         return OutgoingMessage(address, message)
 
+    def reply_with_marks(
+        self, address: tuple[str, int], marks: tuple[Mark, ...]
+    ) -> list[OutgoingMessage]:
+        """Return a message with marks that the receiver may lack, if bytes are left."""
+        if not self._budget.capacity(HEADER_BYTES, UPDATE_BYTES * len(marks)):
+            return []
+        self._budget.spend(HEADER_BYTES + UPDATE_BYTES * len(marks))
+        message = Message(
+            MessageKind.UPDATE,
+            self.local.node_id,
+            0,
+            0,
+            self.config_version,
+            marks=marks,
+            marks_digest=self.marks_digest,
+        )
+        return [OutgoingMessage(address, message)]
+
     def _next_updates(self) -> tuple[list[Member], list[Mark]]:
         if not self._updates:
             return [], []
--- a/dogwooddock/policy/quarantine.py
+++ b/dogwooddock/policy/quarantine.py
@@ -115,7 +115,9 @@
     """
 
     _entries: OrderedDict[str, _Entry] = field(default_factory=OrderedDict)
-    _digest: int | None = 0
+    _changes: int = 0
+    _digest: int = 0
+    _digested_changes: int = 0
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -233,7 +235,7 @@
         entry.losses[loss] = _Statement(mark.kind, expires_at, learned_at, local)
         if len(entry.losses) > MAX_MARKS_PER_FINGERPRINT:
             entry.losses.popitem(last=False)
-        self._digest = None
+        self._changes += 1
         return True
 
     def _get_or_add_entry(self, fingerprint: str) -> _Entry:
@@ -250,8 +252,8 @@
         for name, entry in list(self._entries.items()):
             for loss, statement in list(entry.losses.items()):
                 if statement.expires_at <= now:
-                    del entry.losses[loss]
-                    self._digest = None
+                    entry.losses.pop(loss, None)
+                    self._changes += 1
             if not entry.losses:
                 self._entries.pop(name, None)
 
@@ -259,12 +261,13 @@
 
     def digest(self) -> int:
         """Return a 63-bit number that is equal on nodes with equal marks; 0 if none."""
-        if self._digest is None:
+        changes = self._changes
+        if changes != self._digested_changes:
             digest = 0
             for name, entry in list(self._entries.items()):
                 for loss, statement in list(entry.losses.items()):
                     digest ^= _hash(name, loss, statement.kind)
-            self._digest = digest
+            self._digest, self._digested_changes = digest, changes
         return self._digest
 
     def sample(self, now: float, count: int, rng: Random) -> tuple[Mark, ...]:
--- a/dogwooddock/targets/gate.py
+++ b/dogwooddock/targets/gate.py
@@ -89,6 +89,9 @@
         self._slots = SlotQueue(lambda: deps.admission, self.lock, deps.clock)
         self._ticket_attempts: dict[int, str] = {}
         self._suspect_lock = threading.Lock()
+        self._target_lifetime = 0
+        self._lost_at = float("inf")
+        self._answered_at = 0.0
 
     # Public operations.
 
@@ -375,7 +378,8 @@
         """Send the request; return the reply and whether anything was sent."""
         target = self.target
         assert target is not None
-        remaining_s = deadline - self.deps.clock()
+        began_at = self.deps.clock()
+        remaining_s = deadline - began_at
         try:
             answer = target.send(
                 attempt.method,
@@ -388,9 +392,12 @@
         except TargetUnreachable:
             reason = Reason.TARGET_UNREACHABLE
             return self._reply(attempt, Outcome.NOT_RUN, reason), False
-        except TargetError as exc:
-            return self._failure_reply(attempt, record, deadline, exc, target), True
+        except TargetError:
+            return self._failure_reply(
+                attempt, record, deadline, began_at, target
+            ), True
         now = self.deps.clock()
+        self._answered_at = now
         for mark in self.deps.quarantine.record_success(now, attempt.fingerprint):
             self.deps.broadcast_mark(mark)
         reply = self._reply(attempt, Outcome.ANSWERED, Reason.NONE)
@@ -404,26 +411,48 @@
         attempt: Attempt,
         record: AttemptRecord,
         deadline: float,
-        exc: TargetError,
+        began_at: float,
         target: Target,
     ) -> Reply:
         """Return the reply for a request that was sent and got no complete answer.
 
-        If the target's port is closed afterwards, the target counts as lost.
+        If the target's port is closed afterwards, the target counts as lost. A call
+        that was given up is checked only if nothing was answered since it began.
         """
+        timed_out = self.deps.clock() >= deadline
+        given_up = timed_out or record.canceller.cancelled
+        if not given_up:
+            time.sleep(LOSS_CHECK_DELAY_S)
+        silent = self._answered_at < began_at
+        lost = (silent or not given_up) and not target.accepts_connections()
+        if lost:
+            self._record_loss(attempt, began_at)
         if record.canceller.cancelled:
             return self._reply(attempt, Outcome.UNKNOWN, Reason.CANCELLED)
-        if self.deps.clock() >= deadline:
+        if timed_out:
             return self._reply(attempt, Outcome.UNKNOWN, Reason.DEADLINE)
-        time.sleep(LOSS_CHECK_DELAY_S)
-        if target.accepts_connections():
+        if not lost:
             return self._reply(attempt, Outcome.UNKNOWN, Reason.TARGET_FAILED)
+        reply = self._reply(attempt, Outcome.UNKNOWN, Reason.TARGET_LOST)
+        reply.target_lifetime = self._target_lifetime
+        return reply
+
+    def _record_loss(self, attempt: Attempt, began_at: float) -> None:
+        """Mark a request that ran when the target was lost.
+
+        A run that began after the loss before shows that the target has been back.
+        """
+        now = self.deps.clock()
+        with self.lock:
+            if began_at > self._lost_at:
+                self._target_lifetime += 1
+            self._lost_at = now
+            lifetime = self._target_lifetime
         mark = self.deps.quarantine.record_target_loss(
-            self.deps.clock(), attempt.fingerprint, self.node_id
+            now, attempt.fingerprint, self.node_id, lifetime, began_at
         )
         if mark is not None:
             self.deps.broadcast_mark(mark)
-        return self._reply(attempt, Outcome.UNKNOWN, Reason.TARGET_LOST)
 
     # Replies.
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -113,25 +113,9 @@
         ConfigStore(self.tables, self.objects).apply(desired, 0, "first", "test")
         self.nodes = []
         self.targets = []
-        contacts = ""
+        self.contacts = ""
         for index in range(count):
-            settings = validate_settings(
-                {
-                    "name": f"n{index}",
-                    "zone": "zone-a",
-                    "threads": 16,
-                    "poll_period_s": 0.1,
-                    "contacts": contacts,
-                    "seed": index + 1,
-                    "idle_timeout_s": 1.0,
-                    "max_body_bytes": 64 * 1024,
-                    "drain_timeout_s": 5.0,
-                }
-            )
-            node = Node(settings, self.tables, self.objects)
-            node.start()
-            contacts = node.peer_host_port
-            self.nodes.append(node)
+            self.start_node(index)
         serving = range(count) if served is None else served
         self.wait(lambda: all(node.config.version == 1 for node in self.nodes))
         for index in range(count):
@@ -143,6 +127,26 @@
             lambda: all(self._has_candidates(node, len(serving)) for node in self.nodes)
         )
 
+    def start_node(self, index):
+        """Start a node that joins through the one started before it."""
+        settings = validate_settings(
+            {
+                "name": f"n{index}",
+                "zone": "zone-a",
+                "threads": 16,
+                "poll_period_s": 0.1,
+                "contacts": self.contacts,
+                "seed": index + 1,
+                "idle_timeout_s": 1.0,
+                "max_body_bytes": 64 * 1024,
+                "drain_timeout_s": 5.0,
+            }
+        )
+        node = Node(settings, self.tables, self.objects)
+        node.start()
+        self.contacts = node.peer_host_port
+        self.nodes.append(node)
+
     def serve(self, index, target):
         node = self.nodes[index]
         node.gate.serve(POOL, target)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,5 +1,6 @@
 """Quarantine of requests that crash their targets."""
 
+import time
 from random import Random
 
 import pytest
@@ -126,3 +127,42 @@
         assert not any(
             replica.add(6.0, mark) for mark in source.sample(6.0, 99, Random())
         )
+
+
+@pytest.mark.parametrize("silent", [False, True])
+@pytest.mark.parametrize("targets", [1, 2])
+def test_crashing_request_is_stopped_though_its_targets_come_back(targets, silent):
+    fleet = MiniFleet(targets, served=[])
+    try:
+        for index in range(targets):
+            target = fleet.targets[index] = CrashingTarget()
+            if silent:
+                target.unblocked.clear()
+            fleet.serve(index, target)
+        fleet.wait(
+            lambda: all(fleet._has_candidates(node, targets) for node in fleet.nodes)
+        )
+        for number in range(10):
+            if silent:
+                for target in fleet.targets:
+                    target.alive = False
+            fleet.send("GET", "/quick?bad=1", index=number % targets)
+            for target in fleet.targets:
+                target.alive = True
+        runs = [run for run in fleet.ran if "bad" in run[1]]
+        assert len(runs) <= 6
+    finally:
+        fleet.close()
+
+
+def test_node_that_joins_later_learns_marks_that_were_gossiped_before():
+    fleet = MiniFleet(3)
+    try:
+        quarantine = fleet.nodes[0].quarantine
+        fleet.nodes[0]._broadcast_mark(quarantine.record_target_loss(0.0, "fp", 1))
+        fleet.wait(lambda: all(len(node.quarantine) for node in fleet.nodes))
+        time.sleep(2.0)
+        fleet.start_node(3)
+        fleet.wait(lambda: len(fleet.nodes[3].quarantine))
+    finally:
+        fleet.close()
