Keep digest and sample of the marks cheap, and evict suspects before the quarantined

The bound dropped the least recently marked request, so that a crash of targets with thousands of calls would have released a quarantined one; that test failed before. Such a request is now dropped only if all are quarantined.

--- a/dogwooddock/policy/quarantine.py
+++ b/dogwooddock/policy/quarantine.py
@@ -3,6 +3,8 @@
 __all__ = ["Mark", "MarkKind", "Quarantine", "QuarantineStatus", "fingerprint"]
 
 import hashlib
+import itertools
+import threading
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -111,13 +113,13 @@
 
     For each loss the highest kind of mark holds, so that nodes can merge marks in any
     order and as often as they like. At most MAX_FINGERPRINTS requests are kept; the
-    least recently marked is dropped.
+    least recently marked is dropped. Threads may share an object.
     """
 
     _entries: OrderedDict[str, _Entry] = field(default_factory=OrderedDict)
-    _changes: int = 0
+    _quarantined: dict[str, None] = field(default_factory=dict)
     _digest: int = 0
-    _digested_changes: int = 0
+    _lock: threading.Lock = field(default_factory=threading.Lock)
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -223,20 +225,23 @@
         return [mark for mark in marks if self._merge(now, mark, local=True)]
 
     def _merge(self, now: float, mark: Mark, local: bool) -> bool:
-        known = self._entries.get(mark.fingerprint)
-        loss = _Loss(mark.node_id, mark.lifetime)
-        statement = known.losses.get(loss) if known is not None else None
-        outdated = statement is not None and statement.kind >= mark.kind
-        if mark.remaining_s <= 0 or outdated:
-            return False
-        entry = self._get_or_add_entry(mark.fingerprint)
-        expires_at = now + min(mark.remaining_s, MARK_LIFETIME_S)
-        learned_at = statement.learned_at if statement is not None else now
-        entry.losses[loss] = _Statement(mark.kind, expires_at, learned_at, local)
-        if len(entry.losses) > MAX_MARKS_PER_FINGERPRINT:
-            entry.losses.popitem(last=False)
-        self._changes += 1
-        return True
+        with self._lock:
+            known = self._entries.get(mark.fingerprint)
+            loss = _Loss(mark.node_id, mark.lifetime)
+            statement = known.losses.get(loss) if known is not None else None
+            outdated = statement is not None and statement.kind >= mark.kind
+            if mark.remaining_s <= 0 or outdated:
+                return False
+            entry = self._get_or_add_entry(mark.fingerprint)
+            expires_at = now + min(mark.remaining_s, MARK_LIFETIME_S)
+            learned_at = statement.learned_at if statement is not None else now
+            self._drop(mark.fingerprint, entry, loss)
+            entry.losses[loss] = _Statement(mark.kind, expires_at, learned_at, local)
+            self._digest ^= _hash(mark.fingerprint, loss, mark.kind)
+            if len(entry.losses) > MAX_MARKS_PER_FINGERPRINT:
+                self._drop(mark.fingerprint, entry, next(iter(entry.losses)))
+            self._update_quarantined(mark.fingerprint, entry, now)
+            return True
 
     def _get_or_add_entry(self, fingerprint: str) -> _Entry:
         entry = self._entries.get(fingerprint)
@@ -244,47 +249,74 @@
             entry = self._entries[fingerprint] = _Entry()
         self._entries.move_to_end(fingerprint)
         if len(self._entries) > MAX_FINGERPRINTS:
-            self._entries.popitem(last=False)
+            self._evict(fingerprint)
         return entry
 
+    def _evict(self, kept: str) -> None:
+        """Drop the least recently marked request, preferably one not quarantined."""
+        others = (
+            name
+            for name in self._entries
+            if name not in self._quarantined and name != kept
+        )
+        evicted = next(others, next(iter(self._entries)))
+        entry = self._entries.pop(evicted)
+        for loss in list(entry.losses):
+            self._drop(evicted, entry, loss)
+        self._quarantined.pop(evicted, None)
+
+    def _drop(self, fingerprint: str, entry: _Entry, loss: _Loss) -> None:
+        statement = entry.losses.pop(loss, None)
+        if statement is not None:
+            self._digest ^= _hash(fingerprint, loss, statement.kind)
+
+    def _update_quarantined(self, fingerprint: str, entry: _Entry, now: float) -> None:
+        if _status(entry.in_force(now)) is QuarantineStatus.QUARANTINED:
+            self._quarantined[fingerprint] = None
+        else:
+            self._quarantined.pop(fingerprint, None)
+
     def expire(self, now: float) -> None:
         """Drop the marks whose time has passed."""
-        for name, entry in list(self._entries.items()):
-            for loss, statement in list(entry.losses.items()):
-                if statement.expires_at <= now:
-                    entry.losses.pop(loss, None)
-                    self._changes += 1
-            if not entry.losses:
-                self._entries.pop(name, None)
+        with self._lock:
+            for name, entry in list(self._entries.items()):
+                for loss, statement in list(entry.losses.items()):
+                    if statement.expires_at <= now:
+                        self._drop(name, entry, loss)
+                self._update_quarantined(name, entry, now)
+                if not entry.losses:
+                    del self._entries[name]
 
     # Exchange with other nodes.
 
     def digest(self) -> int:
         """Return a 63-bit number that is equal on nodes with equal marks; 0 if none."""
-        changes = self._changes
-        if changes != self._digested_changes:
-            digest = 0
-            for name, entry in list(self._entries.items()):
-                for loss, statement in list(entry.losses.items()):
-                    digest ^= _hash(name, loss, statement.kind)
-            self._digest, self._digested_changes = digest, changes
         return self._digest
 
     def sample(self, now: float, count: int, rng: Random) -> tuple[Mark, ...]:
         """Return up to ``count`` marks: the most important, and others at random."""
-        marks = self._marks(now, local_only=False)
-        if len(marks) <= count:
-            return tuple(marks)
-        first = count // 2
-        return (*marks[-first:], *rng.sample(marks[:-first], count - first))
+        with self._lock:
+            names = self._important_names(count // 2)
+            others = rng.sample(list(self._entries), min(count, len(self._entries)))
+            marks = self._marks([*names, *others], now)
+        return tuple(marks[:count])
 
     def local_marks(self, now: float, count: int) -> tuple[Mark, ...]:
         """Return the most important marks that this node made, at most ``count``."""
-        return tuple(self._marks(now, local_only=True)[-count:])
-
-    def _marks(self, now: float, local_only: bool) -> list[Mark]:
-        """Return marks from old to new; those that quarantine a request come last."""
-        marks = [
+        with self._lock:
+            names = self._important_names(len(self._entries))
+            marks = self._marks(names, now, local_only=True)
+        return tuple(marks[:count])
+
+    def _important_names(self, count: int) -> list[str]:
+        """Return the quarantined requests, then the most recently marked ones."""
+        names = itertools.chain(reversed(self._quarantined), reversed(self._entries))
+        return list(itertools.islice(names, count))
+
+    def _marks(
+        self, names: Iterable[str], now: float, local_only: bool = False
+    ) -> list[Mark]:
+        return [
             Mark(
                 name,
                 loss.node_id,
@@ -292,11 +324,10 @@
                 statement.kind,
                 loss.lifetime,
             )
-            for name, entry in list(self._entries.items())
-            for loss, statement in list(entry.losses.items())
+            for name in dict.fromkeys(names)
+            for loss, statement in self._entries[name].losses.items()
             if statement.expires_at - now >= 1.0 and (statement.local or not local_only)
         ]
-        return sorted(marks, key=lambda mark: mark.kind is MarkKind.LOST_TO_SUSPECT)
 
 
 def _status(in_force: dict[_Loss, _Statement]) -> QuarantineStatus:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -113,6 +113,25 @@
         ]
 
 
+def test_quarantined_request_outlasts_a_flood_of_suspects():
+    quarantine = Quarantine()
+    quarantine.record_target_loss(0.0, "bad", 1)
+    quarantine.record_target_loss(1.0, "bad", 2)
+    for index in range(MAX_FINGERPRINTS + 500):
+        quarantine.record_target_loss(2.0, f"fp-{index}", 3)
+    assert quarantine.status(3.0, "bad") is QuarantineStatus.QUARANTINED
+
+
+def test_digest_is_zero_again_once_all_marks_have_expired():
+    quarantine = Quarantine()
+    for index in range(MAX_FINGERPRINTS + 500):
+        quarantine.record_target_loss(0.0, f"fp-{index}", 1)
+    quarantine.record_success(1.0, "fp-600")
+    assert quarantine.digest() != 0
+    quarantine.expire(1e6)
+    assert (quarantine.digest(), len(quarantine)) == (0, 0)
+
+
 def test_merged_marks_agree_in_any_order():
     source = Quarantine()
     marks = [source.record_target_loss(float(n), "fp", n) for n in range(3)]
