Try a request that several targets were lost to on one target of the fleet only

After two losses without an answer since, all nodes now send a request to the same target of the pool, by a hash of request and node over the targets they can reach. An answer there frees it everywhere.

The threaded node chooses the same way.

--- a/dogwooddock/callers/ingress.py
+++ b/dogwooddock/callers/ingress.py
@@ -235,9 +235,7 @@
         reason = Reason.NO_TARGET
         while True:
             with self.lock:
-                candidate = self.deps.selector.choose(
-                    route.pool, self.deps.clock(), self.deps.rng, progress.tried
-                )
+                candidate = self._choose(route.pool, attempt, progress)
             if candidate is None:
                 return reply, reason
             progress.tried.add(candidate.node_id)
@@ -321,6 +319,17 @@
         progress.ticket = reply.ticket or ""
         return reply, Reason(reply.reason)
 
+    def _choose(
+        self, pool: str, attempt: Attempt, progress: _Progress
+    ) -> Candidate | None:
+        deps = self.deps
+        now = deps.clock()
+        if deps.quarantine.is_isolated(now, attempt.fingerprint):
+            return deps.selector.choose_for_suspect(
+                pool, progress.tried, attempt.fingerprint
+            )
+        return deps.selector.choose(pool, now, deps.rng, progress.tried)
+
     def _record_lost_call(self, candidate: Candidate | None) -> None:
         if candidate is not None:
             with self.lock:
--- a/dogwooddock/mesh/fleet.py
+++ b/dogwooddock/mesh/fleet.py
@@ -152,14 +152,26 @@
             objective_s: Time left of the route's latency objective, in seconds.
         """
         now = self._loop.time()
+        unusable = self._use_pool(pool, excluded)
+        return self.selector.choose(pool, now, self._rng, unusable, kind, objective_s)
+
+    def choose_for_suspect(
+        self, pool: str, excluded: set[int], fingerprint: str
+    ) -> Candidate | None:
+        """Return the target on which all nodes try a suspect request, or None."""
+        unusable = self._use_pool(pool, excluded)
+        return self.selector.choose_for_suspect(pool, unusable, fingerprint)
+
+    def _use_pool(self, pool: str, excluded: set[int]) -> set[int]:
+        """Keep links to a pool; return the excluded nodes and those not reached."""
         if pool not in self._pool_used_at:
             self._dial(self.members.ready_records(pool))
-        self._pool_used_at[pool] = now
+        self._pool_used_at[pool] = self._loop.time()
         unusable = set(excluded)
         for candidate in self.selector.candidates(pool):
             if not self._usable(candidate.node_id):
                 unusable.add(candidate.node_id)
-        return self.selector.choose(pool, now, self._rng, unusable, kind, objective_s)
+        return unusable
 
     def _usable(self, node_id: int) -> bool:
         address = self._addresses[node_id]
--- a/dogwooddock/mesh/ingress.py
+++ b/dogwooddock/mesh/ingress.py
@@ -162,9 +162,14 @@
         ):
             self._give_up(pending, Reason.QUARANTINED)
             return
-        candidate = self._fleet.choose(
-            pending.pool, pending.tried, call.route, pending.objective_at - now
-        )
+        if self._quarantine.is_isolated(now, call.fingerprint):
+            candidate = self._fleet.choose_for_suspect(
+                pending.pool, pending.tried, call.fingerprint
+            )
+        else:
+            candidate = self._fleet.choose(
+                pending.pool, pending.tried, call.route, pending.objective_at - now
+            )
         if candidate is None:
             self._wait_for_link(pending, now)
             return
--- a/dogwooddock/policy/quarantine.py
+++ b/dogwooddock/policy/quarantine.py
@@ -14,6 +14,7 @@
 from .unanswered import UnansweredRun
 
 MARK_LIFETIME_S = 1800.0
+LOSSES_TO_ISOLATE = 2
 MAX_FINGERPRINTS = 4096
 MAX_MARKS_PER_FINGERPRINT = 64
 
@@ -131,6 +132,14 @@
             return QuarantineStatus.CLEAR
         return _status(entry.in_force(now))
 
+    def is_isolated(self, now: float, fingerprint: str) -> bool:
+        """Report whether only one target of the fleet may try a request.
+
+        Several targets that were lost at one moment make a request suspect only.
+        """
+        entry = self._entries.get(fingerprint)
+        return entry is not None and len(entry.in_force(now)) >= LOSSES_TO_ISOLATE
+
     def statuses(self, now: float) -> dict[str, str]:
         """Return the status of each suspect or quarantined request by fingerprint."""
         listed = {name: self.status(now, name) for name in list(self._entries)}
--- a/dogwooddock/policy/selection.py
+++ b/dogwooddock/policy/selection.py
@@ -2,6 +2,7 @@
 
 __all__ = ["Candidate", "Selector"]
 
+import hashlib
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from random import Random
@@ -129,6 +130,19 @@
             return best_local
         return self._cheapest(sampled_local + _sample(remote, rng), now, rng, kind)
 
+    def choose_for_suspect(
+        self, pool: str, excluded: set[int], fingerprint: str
+    ) -> Candidate | None:
+        """Return the target on which the whole fleet tries a suspect request, or None.
+
+        All nodes choose the same one, as far as they know the same members.
+        """
+        return min(
+            (item for item in self.candidates(pool) if item.node_id not in excluded),
+            key=lambda item: _rank(fingerprint, item.node_id),
+            default=None,
+        )
+
     def _cheapest(
         self, group: list[Candidate], now: float, rng: Random, kind: str
     ) -> Candidate | None:
@@ -277,3 +291,8 @@
     if len(group) <= SAMPLES_PER_GROUP:
         return group
     return rng.sample(group, SAMPLES_PER_GROUP)
+
+
+def _rank(fingerprint: str, node_id: int) -> bytes:
+    """Return a hash that orders the targets differently for each request."""
+    return hashlib.sha256(f"{fingerprint} {node_id}".encode()).digest()
--- a/tests/test_mesh_crashes.py
+++ b/tests/test_mesh_crashes.py
@@ -176,6 +176,22 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("crash", [Crash(), Crash("POST", "/order/crash")], ids=str)
+def test_crashing_request_reaches_few_targets_though_sent_at_all_nodes_at_once(crash):
+    async def scenario():
+        async with crash_fleet(crash) as crashing:
+            for number in range(0, 24, 4):
+                sent = [crashing.send(number + n) for n in range(4)]
+                await asyncio.gather(*sent)
+                await wait_until(
+                    lambda: not any(vm.target.crashed for vm in crashing.vms)
+                )
+                await asyncio.sleep(0.4)
+            assert len(crashing.crash_runs) <= MAX_RUNS
+
+    run(scenario())
+
+
 async def restart_all_nodes(crashing, number):
     for vm in crashing.vms:
         await restart_node(vm)
