Take the ports of tests from below the range of outgoing connections

Ports now come from 10,000 to 31,999, by the system's random source, as hypothesis seeds the shared one alike in each run.

--- a/bench/settingsfile.py
+++ b/bench/settingsfile.py
@@ -9,6 +9,7 @@
 ]
 
 import json
+import random
 import socket
 from pathlib import Path
 from typing import Any
@@ -18,15 +19,20 @@
 LISTENER_NAMES = ("outbound", "inbound", "ready", "control")
 PORTS_PER_NODE = 8
 
+# Below the range from which Linux takes the local ports of outgoing connections.
+LISTEN_PORTS = range(10_000, 32_000)
+_RNG = random.SystemRandom()
+
 
 def free_ports(count: int) -> int:
-    """Return the first port of ``count`` consecutive free ports."""
+    """Return the first port of ``count`` consecutive free ports.
+
+    None of them can become the local port of an outgoing connection before it is used.
+    """
     while True:
-        with socket.socket() as first:
-            first.bind(("127.0.0.1", 0))
-            base = int(first.getsockname()[1])
-            if all(_is_free(base + offset) for offset in range(1, count)):
-                return base
+        base = _RNG.randrange(LISTEN_PORTS.start, LISTEN_PORTS.stop - count)
+        if all(_is_free(base + offset) for offset in range(count)):
+            return base
 
 
 def _is_free(port: int) -> bool:
--- a/tests/mesh_helpers.py
+++ b/tests/mesh_helpers.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import json
-import socket
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from random import Random
 
 from bench.mesh_standin import StoreStandIn, TargetStandIn
+from bench.settingsfile import free_ports
 from dogwooddock.http1.client import ConnectionPool, RequestFailure
 from dogwooddock.http1.messages import Response, render_request
 from dogwooddock.mesh.environment import Bounds, NodeEnvironment
@@ -17,12 +17,6 @@
 WAIT_S = 5.0
 
 
-def free_port(host="127.0.0.1"):
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
-
-
 def route_entry(name, pool, prefix, **spec):
     spec = {
         "host": "app.example",
@@ -109,16 +103,17 @@
 
 def environment(index, pool, target_address, store_address, **bounds):
     host = f"127.0.0.{index + 1}"
+    ports = free_ports(4)
     return NodeEnvironment(
         name=f"node-{index}",
         ip=host,
         zone=f"zone-{'ab'[index % 2]}",
         pool=pool,
         target=target_address,
-        caller_listen=(host, free_port(host)),
-        ready_listen=(host, free_port(host)),
-        heartbeat_listen=(host, free_port(host)),
-        peer_listen=(host, free_port(host)),
+        caller_listen=(host, ports),
+        ready_listen=(host, ports + 1),
+        heartbeat_listen=(host, ports + 2),
+        peer_listen=(host, ports + 3),
         contacts=(),
         store=store_address,
         bounds=Bounds(**bounds),
@@ -151,7 +146,7 @@
 
 async def start_vm(fleet, index, pool, contacts=()):
     target = TargetStandIn(pool, target_id=f"t-{index}")
-    await target.start(f"127.0.0.{index + 1}")
+    await target.start(f"127.0.0.{index + 1}", free_ports(1))
     env = environment(index, pool, target.address, fleet.store.address)
     env = NodeEnvironment(**{**_fields(env), "contacts": contacts})
     node = await start_node(env)
