Store own marks again after a restart though a peer tells them first

A node that starts learns its own earlier marks from its row and from its peers. If a peer was faster, the marks did not count as the node's own, the next write of its row dropped them, and only the peers' memory kept them: the new test failed so in both orders. A mark that is restored is now the node's own whoever told it before, and stays so when it is released. A gate whose target has drained no longer connects to it again after a run that is cut off.

--- a/dogwooddock/mesh/gate.py
+++ b/dogwooddock/mesh/gate.py
@@ -415,10 +415,12 @@
             reused=failure.reused,
             began=failure.response_started,
         )
-        if failure.closed_by_peer:
-            self._loop.create_task(self._finish_lost(gate_call))
-        else:
+        if not failure.closed_by_peer:
             self._finish_failed(gate_call, Reason.TARGET_FAILED)
+        elif self._target is None:
+            self._finish_failed(gate_call, Reason.TARGET_LOST)
+        else:
+            self._loop.create_task(self._finish_lost(gate_call))
 
     async def _finish_lost(self, gate_call: GateCall) -> None:
         """Reply after a check of the target, so that marks arrive before the reply."""
--- a/dogwooddock/policy/quarantine.py
+++ b/dogwooddock/policy/quarantine.py
@@ -239,12 +239,15 @@
             loss = _Loss(mark.node_id, mark.lifetime)
             statement = known.losses.get(loss) if known is not None else None
             outdated = statement is not None and statement.kind >= mark.kind
+            if statement is not None and local:
+                statement.local = True
             if mark.remaining_s <= 0 or outdated:
                 return False
             entry = self._get_or_add_entry(mark.fingerprint)
             expires_at = now + min(mark.remaining_s, MARK_LIFETIME_S)
             learned_at = statement.learned_at if statement is not None else now
             self._drop(mark.fingerprint, entry, loss)
+            local = local or (statement is not None and statement.local)
             entry.losses[loss] = _Statement(mark.kind, expires_at, learned_at, local)
             self._digest ^= _hash(mark.fingerprint, loss, mark.kind)
             if len(entry.losses) > MAX_MARKS_PER_FINGERPRINT:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -113,6 +113,20 @@
         ]
 
 
+@pytest.mark.parametrize("peer_first", [True, False])
+def test_own_marks_are_stored_again_after_a_restart_though_a_peer_tells_them(
+    peer_first,
+):
+    before, after = Quarantine(), Quarantine()
+    mark = before.record_target_loss(0.0, "fp", 1)
+    if peer_first:
+        after.add(1.0, mark)
+    after.restore(2.0, before.local_marks(2.0, 10))
+    after.add(3.0, Mark("fp", 1, 1000, MarkKind.RELEASED))
+    (stored,) = after.local_marks(4.0, 10)
+    assert stored.kind is MarkKind.RELEASED
+
+
 def test_quarantined_request_outlasts_a_flood_of_suspects():
     quarantine = Quarantine()
     quarantine.record_target_loss(0.0, "bad", 1)
