Repeat a member's record in its acknowledgements of probes

A node that was cut off for one or two seconds then, too short to be suspected, kept the old record until the next change: it went on sending to a node without a target, or never used one that had joined. The new test fails so for cuts of 1 and 2 s before this change; a cut of 10 s was repaired by the refutation of the suspicion.

An acknowledgement now always carries the sender's own record, so that each node sees each other's record once per round of probes (a second per member).

--- a/dogwooddock/policy/membership.py
+++ b/dogwooddock/policy/membership.py
@@ -263,14 +263,14 @@
         if message.subject and message.subject != self.local.node_id:
             # The probed process is gone: its address now belongs to this one.
             return [self._compose(source, MessageKind.UPDATE, 0, extra=self.local)]
-        include_local = message.sequence == 0
+        # The prober may have been cut off when this record was gossiped.
         return [
             self._compose(
                 source,
                 MessageKind.ACK,
                 message.sequence,
                 self.local.node_id,
-                include_local=include_local,
+                include_local=True,
             )
         ]
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -80,6 +80,19 @@
     assert fleet.count_declaring_dead(leaving) == SIZE - 1
 
 
+@pytest.mark.parametrize("cut_s", [1.0, 2.0, 10.0])
+def test_pool_change_is_learned_by_a_node_that_was_cut_off_when_it_was_told(
+    fleet, cut_s
+):
+    changing, absent = fleet.live_nodes()[:2]
+    fleet.partitioned.add(absent)
+    fleet.nodes[changing].set_pool("other")
+    fleet.run(cut_s)
+    fleet.partitioned.clear()
+    fleet.run(60.0)
+    assert fleet.nodes[absent].members[changing].pool == "other"
+
+
 @pytest.mark.parametrize("loss", [0.0, 0.2])
 def test_config_version_reaches_all_nodes_within_the_bound(fleet, loss):
     fleet.loss = loss
