--- a/tests/test_mesh_crashes.py
+++ b/tests/test_mesh_crashes.py
@@ -209,7 +209,7 @@
     await restart_all_nodes(crashing, number)
 
 
-async def restart_store_readers_away(crashing, number):
+async def lose_store_every_fourth_time(crashing, number):
     crashing.fleet.store.faults.refuse = 503 if number % 4 == 0 else 0
     await asyncio.sleep(0.2)
 
@@ -220,7 +220,7 @@
         restart_all_nodes,
         restart_crashed_node,
         lose_all_power,
-        restart_store_readers_away,
+        lose_store_every_fourth_time,
     ],
 )
 def test_crashing_request_reaches_few_targets_while_nodes_are_lost(trouble):
