--- a/dogwooddock/mesh/losswatch.py
+++ b/dogwooddock/mesh/losswatch.py
@@ -1,6 +1,6 @@
 """Detection of the end of the local target's lifetime."""
 
-__all__ = ["LossWatch", "log_target_loss"]
+__all__ = ["MAX_LOGGED_MARKS", "LossWatch", "log_target_loss"]
 
 import asyncio
 from collections.abc import Callable
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -29,7 +29,7 @@
 from .heartbeats import TargetMonitor
 from .ingress import Ingress
 from .listeners import Listeners
-from .losswatch import log_target_loss
+from .losswatch import MAX_LOGGED_MARKS, log_target_loss
 from .recordrows import MalformedRecord, decode_marks, decode_record
 from .routing import DesiredState
 from .rows import Row, RowStore
@@ -45,7 +45,6 @@
 NON_READER_FANOUT = 3
 MAX_PUSHED_RECORDS = 32
 EXIT_MARGIN_S = 0.6
-MAX_LOGGED_MARKS = 8
 SYNC_PERIOD_S = 1.0
 MAX_SYNCED_MARKS = 32
 MAINTENANCE_PERIOD_S = 1.0
