Log which answer released a request from its losses

A gate that released a request left no line, so the record could not tell by which answer a quarantine ended. mark_released names request, fingerprint and status. No decision changes.

--- a/dogwooddock/mesh/gate.py
+++ b/dogwooddock/mesh/gate.py
@@ -394,7 +394,9 @@
             reply.headers, reply.body = answer.headers, answer.body
             if failed and gate_call.downstream_failed:
                 reply.reason = Reason.FAILED_BELOW
-            self._marks.record_success(gate_call.call.fingerprint)
+            self._marks.record_success(
+                gate_call.call.fingerprint, gate_call.queued.attempt_id, answer.status
+            )
         self._release(gate_call, failed)
         self._finish(gate_call, reply)
 
--- a/dogwooddock/mesh/marks.py
+++ b/dogwooddock/mesh/marks.py
@@ -45,12 +45,26 @@
         if marks:
             self._publish(tuple(marks))
 
-    def record_success(self, fingerprint: str) -> None:
-        """Release a request that a target answered, and publish that."""
+    def record_success(self, fingerprint: str, request: str, status: int) -> None:
+        """Release a request that a target answered, and publish that.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            request: Identifier of the attempt, for the log.
+            status: HTTP status of the answer.
+        """
         marks = self.quarantine.record_success(self._loop.time(), fingerprint)
-        if marks:
-            self._publish(tuple(marks))
-            self._on_learned()
+        if not marks:
+            return
+        log.info(
+            "mark_released",
+            request=request,
+            fingerprint=fingerprint,
+            status=status,
+            count=len(marks),
+        )
+        self._publish(tuple(marks))
+        self._on_learned()
 
     def sample_for_peer(self, digest: int) -> tuple[Mark, ...]:
         """Return marks to send to a peer, given its digest; empty if they agree."""
