--- a/bench/mesh_standin.py
+++ b/bench/mesh_standin.py
@@ -198,6 +198,9 @@
         crash_on: Part of the path of requests that crash the target; empty for none.
         crash_silently: Whether a crashed target leaves connections open and
             unanswered instead of resetting them.
+        crash_after_s: Time that a run takes until it crashes the target, in seconds;
+            a request with an earlier deadline is answered with 504 at its deadline.
+        failing: Whether the target answers each run with 500 at once.
     """
 
     work_s: float = 0.0
@@ -211,6 +214,8 @@
     reset_after_idle_s: float = float("inf")
     crash_on: str = ""
     crash_silently: bool = False
+    crash_after_s: float = 0.0
+    failing: bool = False
 
 
 @dataclass
@@ -396,8 +401,12 @@
                 self.target_id,
             )
         )
+        if self.mode.failing:
+            self._busy -= 1
+            self._send_answer(exchange, request_id, 500)
+            return
         if self.mode.crash_on and self.mode.crash_on in self.runs[-1].path:
-            self._crash()
+            await self._run_until_crash(exchange, request_id)
             return
         try:
             status = await self._call_downstream(request_id) or self.mode.status
@@ -409,6 +418,16 @@
             return
         self._send_answer(exchange, request_id, status)
 
+    async def _run_until_crash(self, exchange: Exchange, request_id: str) -> None:
+        remaining_s = self.runs[-1].deadline_ms / 1000
+        if remaining_s < self.mode.crash_after_s:
+            await asyncio.sleep(remaining_s)
+            self._busy -= 1
+            self._send_answer(exchange, request_id, 504)
+            return
+        await asyncio.sleep(self.mode.crash_after_s)
+        self._crash()
+
     def _crash(self) -> None:
         if self.mode.crash_silently:
             self.fall_silent()
--- a/tests/test_mesh_crashes.py
+++ b/tests/test_mesh_crashes.py
@@ -25,6 +25,7 @@
 ROUTES = [
     route_entry("read", "shop", "/read/"),
     route_entry("order", "shop", "/order/", kind="non_idempotent", attempts=1),
+    route_entry("view", "shop", "/view/", attempts=1),
     route_entry("stock", "stock", "/stock/"),
 ]
 
@@ -219,6 +220,30 @@
     run(scenario())
 
 
+@pytest.mark.parametrize(
+    "crash", [Crash(path="/view/crash"), Crash("POST", "/order/crash")], ids=str
+)
+@pytest.mark.parametrize("failed_status", [500, 504])
+def test_failed_answers_do_not_release_a_crashing_request(crash, failed_status):
+    async def scenario():
+        async with crash_fleet(crash) as crashing:
+            modes = [vm.target.mode for vm in crashing.vms]
+            for mode in modes:
+                mode.crash_after_s = 0.09
+            for number in range(3 * (MAX_RUNS + 1)):
+                fails = number % 3 > 0
+                for mode in modes:
+                    mode.failing = fails and failed_status == 500
+                await crashing.send(number, wait_ms=60 if fails else 700)
+                await wait_until(
+                    lambda: not any(vm.target.crashed for vm in crashing.vms)
+                )
+                await asyncio.sleep(0.15)
+            assert crashing.restarts <= MAX_RUNS
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("crash", [Crash(), Crash("POST", "/order/crash")], ids=str)
 def test_crashing_request_reaches_few_targets_though_sent_at_all_nodes_at_once(crash):
     async def scenario():
