Release a request from its losses by the answer of a complete run only

Cause: any stamped answer released a request from all known losses in the whole fleet, also the 504 of a target that gave up at the deadline, before the point at which the request crashes it, and the 500 of a target that fails part of its requests. The same rule stood in the threaded gate.

Change: the quarantine decides by the status, for both gates: 5xx and the statuses that deny a run release nothing. Ruled out: fingerprints that differ between VMs (all sendings of a request in the record carry one).

--- a/bench/soakchecks.py
+++ b/bench/soakchecks.py
@@ -5,9 +5,10 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
+from dogwooddock.policy.outcomes import RETRY_INVITING_STATUSES
+
 from .mesh_standin import Run
 
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 NON_IDEMPOTENT_ROUTE = "order"
 SETTLING_TIME_S = 3.0
 BOUND_TOLERANCE_S = 0.3
@@ -151,7 +152,7 @@
     if request.route == NON_IDEMPOTENT_ROUTE:
         if len(runs) > 1:
             found.append(f"{name} ran {len(runs)} times")
-        if request.status in NOT_RUN_STATUSES and runs:
+        if request.status in RETRY_INVITING_STATUSES and runs:
             found.append(f"{name} was reported as not run but ran")
     if request.status == 404:
         found.append(f"{name} was answered 404 although its route exists")
--- a/dogwooddock/mesh/gate.py
+++ b/dogwooddock/mesh/gate.py
@@ -18,7 +18,7 @@
 from ..policy.admission import AdmissionController, QueuedCall, Verdict
 from ..policy.levels import LEVEL_SCALE
 from ..policy.limits import StaticLimit
-from ..policy.outcomes import Outcome, Reason
+from ..policy.outcomes import RETRY_INVITING_STATUSES, Outcome, Reason
 from ..policy.quarantine import QuarantineStatus
 from .calls import GateLoad, MeshCall, MeshReply
 from .gatecalls import GateCall, GateTarget, Stage
@@ -33,8 +33,6 @@
 MIN_REMAINING_S = 0.004
 MIN_SERVICE_SHARE = 0.5
 INITIAL_SLOTS = 1
-# Clients take these statuses to mean that the request did not run.
-RETRY_INVITING_STATUSES = frozenset({408, 421, 429, 503})
 
 log = structlog.get_logger()
 
@@ -394,7 +392,7 @@
             reply.headers, reply.body = answer.headers, answer.body
             if failed and gate_call.downstream_failed:
                 reply.reason = Reason.FAILED_BELOW
-            self._marks.record_success(
+            self._marks.record_answer(
                 gate_call.call.fingerprint, gate_call.queued.attempt_id, answer.status
             )
         self._release(gate_call, failed)
--- a/dogwooddock/mesh/marks.py
+++ b/dogwooddock/mesh/marks.py
@@ -45,15 +45,15 @@
         if marks:
             self._publish(tuple(marks))
 
-    def record_success(self, fingerprint: str, request: str, status: int) -> None:
-        """Release a request that a target answered, and publish that.
+    def record_answer(self, fingerprint: str, request: str, status: int) -> None:
+        """Release a request that a target ran to its end, and publish that.
 
         Args:
             fingerprint: Fingerprint of the request.
             request: Identifier of the attempt, for the log.
             status: HTTP status of the answer.
         """
-        marks = self.quarantine.record_success(self._loop.time(), fingerprint)
+        marks = self.quarantine.record_answer(self._loop.time(), fingerprint, status)
         if not marks:
             return
         log.info(
--- a/dogwooddock/policy/outcomes.py
+++ b/dogwooddock/policy/outcomes.py
@@ -1,9 +1,12 @@
 """Outcomes of a request and the reasons for them."""
 
-__all__ = ["Outcome", "Reason"]
+__all__ = ["RETRY_INVITING_STATUSES", "Outcome", "Reason"]
 
 from enum import StrEnum
 
+# Clients take these statuses to mean that the request did not run.
+RETRY_INVITING_STATUSES = frozenset({408, 421, 429, 503})
+
 
 class Outcome(StrEnum):
     """What is known about the run of a request: answered, not run, or unknown."""
--- a/dogwooddock/policy/quarantine.py
+++ b/dogwooddock/policy/quarantine.py
@@ -11,12 +11,14 @@
 from enum import Enum, IntEnum
 from random import Random
 
+from .outcomes import RETRY_INVITING_STATUSES
 from .unanswered import UnansweredRun
 
 MARK_LIFETIME_S = 1800.0
 LOSSES_TO_ISOLATE = 2
 MAX_FINGERPRINTS = 4096
 MAX_MARKS_PER_FINGERPRINT = 64
+MIN_FAILED_STATUS = 500
 
 
 def fingerprint(
@@ -48,7 +50,7 @@
 
     LOST: the target was lost while it ran the request. LOST_TO_SUSPECT: besides, the
     request was suspect when the run began. RELEASED: the loss no longer counts, since
-    a target answered the request or an operator released it.
+    a target ran the request to its end or an operator released it.
     """
 
     LOST = 0
@@ -210,10 +212,21 @@
             for loss, statement in entry.in_force(now).items()
         )
 
-    def record_success(self, now: float, fingerprint: str) -> list[Mark]:
-        """Release a request that a target answered; return the marks to pass on."""
+    def record_answer(self, now: float, fingerprint: str, status: int) -> list[Mark]:
+        """Release a request that a target ran to its end; return the marks to pass on.
+
+        A failed answer releases nothing: the target may have given up before the point
+        at which the request crashes it.
+
+        Args:
+            now: Monotonic time, in seconds.
+            fingerprint: Fingerprint of the request.
+            status: HTTP status of the target's answer.
+        """
         if fingerprint not in self._entries:
             return []
+        if status >= MIN_FAILED_STATUS or status in RETRY_INVITING_STATUSES:
+            return []
         return self.release(now, fingerprint)
 
     def release(self, now: float, fingerprint: str) -> list[Mark]:
--- a/dogwooddock/targets/gate.py
+++ b/dogwooddock/targets/gate.py
@@ -398,7 +398,10 @@
             ), True
         now = self.deps.clock()
         self._answered_at = now
-        for mark in self.deps.quarantine.record_success(now, attempt.fingerprint):
+        marks = self.deps.quarantine.record_answer(
+            now, attempt.fingerprint, answer.status
+        )
+        for mark in marks:
             self.deps.broadcast_mark(mark)
         reply = self._reply(attempt, Outcome.ANSWERED, Reason.NONE)
         reply.status = answer.status
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -39,7 +39,7 @@
     local, remote = Quarantine(), Quarantine()
     loss = local.record_target_loss(0.0, "fp", 1)
     remote.add(0.0, loss)
-    (mark,) = local.record_success(1.0, "fp")
+    (mark,) = local.record_answer(1.0, "fp", 200)
     assert remote.add(1.0, mark)
     assert not remote.add(2.0, loss)
     assert remote.status(2.0, "fp") is QuarantineStatus.CLEAR
@@ -47,6 +47,19 @@
     assert remote.status(3.0, "fp") is QuarantineStatus.SUSPECT
 
 
+@pytest.mark.parametrize(
+    ("status", "releases"),
+    [(200, True), (304, True), (404, True)]
+    + [(status, False) for status in (408, 421, 429, 500, 502, 503, 504)],
+)
+def test_only_answers_of_complete_runs_release_a_request(status, releases):
+    quarantine = Quarantine()
+    quarantine.record_target_loss(0.0, "fp", 1)
+    assert bool(quarantine.record_answer(1.0, "fp", status)) is releases
+    is_clear = quarantine.status(2.0, "fp") is QuarantineStatus.CLEAR
+    assert is_clear is releases
+
+
 def test_number_of_fingerprints_is_bounded():
     quarantine = Quarantine()
     for index in range(MAX_FINGERPRINTS + 500):
@@ -140,7 +153,7 @@
     quarantine = Quarantine()
     for index in range(MAX_FINGERPRINTS + 500):
         quarantine.record_target_loss(0.0, f"fp-{index}", 1)
-    quarantine.record_success(1.0, "fp-600")
+    quarantine.record_answer(1.0, "fp-600", 200)
     assert quarantine.digest() != 0
     quarantine.expire(1e6)
     assert (quarantine.digest(), len(quarantine)) == (0, 0)
@@ -149,7 +162,7 @@
 def test_merged_marks_agree_in_any_order():
     source = Quarantine()
     marks = [source.record_target_loss(float(n), "fp", n) for n in range(3)]
-    marks += source.record_success(4.0, "fp")
+    marks += source.record_answer(4.0, "fp", 200)
     marks.append(source.record_target_loss(5.0, "fp", 7))
     for seed in range(20):
         replica = Quarantine()
