--- a/dogwooddock/mesh/follower.py
+++ b/dogwooddock/mesh/follower.py
@@ -73,8 +73,10 @@
 
     async def run(self) -> None:
         """Follow the table while enabled, until cancelled."""
+        loop = asyncio.get_running_loop()
         while True:
             await self._enabled.wait()
+            called_at = loop.time()
             try:
                 if self._position is None or self._era != self._store.era:
                     await self._read_table()
@@ -84,7 +86,7 @@
                 log.info("store_history_lost", table=self._table)
                 self._position = None
             except PlatformError as exc:
-                await self._back_off(exc)
+                await self._back_off(exc, loop.time() - called_at)
             else:
                 self._on_success()
                 await asyncio.sleep(self._batch_delay_s)
@@ -117,10 +119,15 @@
             self._on_rows(page.rows, page.version)
         self._position = max(position, page.version)
 
-    async def _back_off(self, exc: PlatformError) -> None:
+    async def _back_off(self, exc: PlatformError, waited_s: float) -> None:
         if not self.store_lost:
             self.store_lost = True
-            log.warning("store_lost", table=self._table, error=str(exc))
+            log.warning(
+                "store_lost",
+                table=self._table,
+                error=str(exc),
+                waited_ms=round(waited_s * 1000),
+            )
         await asyncio.sleep(self._backoff_s * (0.5 + self._rng.random()))
         self._backoff_s = min(BACKOFF_MAX_S, self._backoff_s * 2)
 
