--- a/bench/mesh_standin.py
+++ b/bench/mesh_standin.py
@@ -65,6 +65,7 @@
         self.rows = MemoryRowStore()
         self.era = 1
         self._copy = MemoryRowStore()
+        self._forgotten = 0
         self.faults = StoreFaults()
         self.calls: Counter[str] = Counter()
         self._server = HttpServer(self._handle)
@@ -87,6 +88,17 @@
         result = await self.rows.transact([], [Change(table, part, key, value)])
         return result.version
 
+    def forget_waiting_calls(self) -> None:
+        """Leave the calls that wait now unanswered, with their connections open."""
+        self._forgotten += 1
+
+    async def fall_silent(self, duration_s: float) -> None:
+        """Answer no call for a time, nor those that wait at its start."""
+        self.faults.silent = True
+        self.forget_waiting_calls()
+        await asyncio.sleep(duration_s)
+        self.faults.silent = False
+
     def compact_history(self) -> None:
         """Compact the change history; reading from an earlier version gets 410."""
         self.rows.compacted_version = self.rows.version + 1
@@ -118,9 +130,12 @@
             exchange.respond(faults.refuse, self._header_block(), b"")
             return
         era = self.era
+        forgotten = self._forgotten
         status, body = await self._perform(path, exchange)
         if path == "/rows-tx" and faults.lose_answers:
             return
+        if forgotten != self._forgotten:
+            return
         if era != self.era:
             exchange.write_raw(b"", reset=True)
             return
