Notice calls that the store has forgotten within the bound on configurations

Cause: all readers of the fleet wait on long polls, which are given up after 9.5 s. A store that leaves waiting calls unanswered, for 20 ms or in an outage, is not noticed until then, and a version written meanwhile is in force late on all nodes.

Change: two lead readers of the fleet hold their calls for 0.4 of the bound only. After a call without an answer any reader calls again at once, and at growing intervals that overlap, and counts the store as lost only if these fail too; a reader whose configuration call was lost also replaces its call for members; a later era replaces the calls that wait. The bound is read from the settings.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -127,7 +127,7 @@
     Mutant(
         "no-recovery-from-store-loss",
         (
-            ("mesh/follower.py", "await self._back_off(exc)", "return"),
+            ("mesh/follower.py", "await self._regain(exc, called_at)", "return"),
             ("mesh/node.py", "if update.document:", "if update is None:"),
         ),
     ),
--- a/dogwooddock/mesh/environment.py
+++ b/dogwooddock/mesh/environment.py
@@ -14,6 +14,8 @@
     Args:
         drain_s: Time after which a draining target gets no more requests, in seconds.
         grace_s: Time between SIGTERM and SIGKILL, in seconds.
+        config_s: Time after which a new configuration is in force everywhere, in
+            seconds.
         retry_window_s: Window of the retry budget, in seconds.
         retry_ratio: Retries allowed per request in the window.
         retry_extra: Additional retries allowed for the whole fleet.
@@ -21,6 +23,7 @@
 
     drain_s: float = 2.0
     grace_s: float = 6.0
+    config_s: float = 2.0
     retry_window_s: float = 10.0
     retry_ratio: float = 0.2
     retry_extra: float = 40.0
--- a/dogwooddock/mesh/fleet.py
+++ b/dogwooddock/mesh/fleet.py
@@ -10,7 +10,7 @@
 from ..peers.links import PROBE_AFTER_IDLE_S, LinkHandler, OutboundLink
 from ..policy.levels import LevelTable
 from ..policy.outcomes import Outcome, Reason
-from ..policy.readers import READERS_PER_ZONE, ZonePeer
+from ..policy.readers import READERS_PER_ZONE, LinkedPeer
 from ..policy.selection import Candidate, Selector
 from ..policy.unanswered import TargetLifetime, UnansweredRun, UnansweredRuns
 from .calls import MeshCall, MeshReply, NodeRecord
@@ -312,12 +312,16 @@
             if record.zone == self._zone and record.address != self.address
         ]
 
-    def zone_peers(self) -> list[ZonePeer]:
+    def zone_peers(self) -> list[LinkedPeer]:
         """Return the peers in this node's zone whose links are up."""
+        return self.linked_peers(self._zone)
+
+    def linked_peers(self, zone: str = "") -> list[LinkedPeer]:
+        """Return the peers whose links are up, of one zone or of all."""
         return [
-            ZonePeer(address, link.peer_store_lost)
+            LinkedPeer(address, link.peer_store_lost)
             for address, link in self._links.items()
-            if link.is_up and link.peer_zone == self._zone
+            if link.is_up and link.peer_zone and zone in ("", link.peer_zone)
         ]
 
     def has_members(self, pool: str) -> bool:
--- a/dogwooddock/mesh/follower.py
+++ b/dogwooddock/mesh/follower.py
@@ -9,11 +9,10 @@
 import structlog
 
 from ..errors import PlatformError
-from .rows import HistoryLost, Row, RowStore
+from ..policy.polling import REGULAR_TIMING, PollTiming
+from .rows import HistoryLost, Row, RowStore, StoreUncertain
 
-LONG_POLL_S = 8.0
 BACKOFF_FIRST_S = 0.1
-BACKOFF_MAX_S = 1.0
 
 log = structlog.get_logger()
 
@@ -33,6 +32,8 @@
         rng: Source of the jitter of retry delays.
         batch_delay_s: Pause between calls, so that several changes arrive in one
             reply, in seconds.
+        on_unanswered: Called when a call was not answered; calls of others may be lost
+            as well.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
         on_rows: Callable[[tuple[Row, ...], int], None],
         rng: Random,
         batch_delay_s: float = 0.0,
+        on_unanswered: Callable[[], None] = lambda: None,
     ):
         self._store = store
         self._table = table
@@ -52,7 +54,10 @@
         self._position: int | None = None
         self._era = 0
         self._batch_delay_s = batch_delay_s
-        self._backoff_s = BACKOFF_FIRST_S
+        self._on_unanswered = on_unanswered
+        self._timing = REGULAR_TIMING
+        self._poll: asyncio.Task[None] | None = None
+        self._poll_restarted = False
         self._enabled = asyncio.Event()
         self.store_lost = False
 
@@ -63,6 +68,20 @@
         else:
             self._enabled.clear()
 
+    def set_timing(self, timing: PollTiming) -> None:
+        """Change the timing; a call that may wait longer is replaced at once."""
+        shorter = timing.wait_s < self._timing.wait_s
+        self._timing = timing
+        if shorter:
+            self.restart()
+
+    def restart(self) -> None:
+        """Replace the call that waits for changes, since the store may have lost it."""
+        poll = self._poll
+        if poll is not None and poll is not asyncio.current_task():
+            self._poll_restarted = True
+            poll.cancel()
+
     async def load(self) -> None:
         """Read the table once without following it.
 
@@ -78,18 +97,32 @@
             await self._enabled.wait()
             called_at = loop.time()
             try:
-                if self._position is None or self._era != self._store.era:
-                    await self._read_table()
-                else:
-                    await self._wait_for_changes(self._position)
+                await self._wait_or_restart()
             except HistoryLost:
-                log.info("store_history_lost", table=self._table)
-                self._position = None
+                self._forget_position()
             except PlatformError as exc:
-                await self._back_off(exc, loop.time() - called_at)
-            else:
-                self._on_success()
-                await asyncio.sleep(self._batch_delay_s)
+                await self._regain(exc, called_at)
+            await asyncio.sleep(self._batch_delay_s)
+
+    async def _wait_or_restart(self) -> None:
+        """Make one call; return without a result if ``restart`` is called meanwhile."""
+        self._poll_restarted = False
+        poll = asyncio.get_running_loop().create_task(self._step(self._timing.wait_s))
+        self._poll = poll
+        try:
+            await poll
+        except asyncio.CancelledError:
+            if not self._poll_restarted:
+                raise
+        finally:
+            self._poll = None
+
+    async def _step(self, wait_s: float) -> None:
+        """Read the table if its position is not known, or else the changes since."""
+        if self._position is None or self._era != self._store.era:
+            await self._read_table()
+        else:
+            await self._read_changes(self._position, wait_s)
 
     async def _read_table(self) -> None:
         parts = self._parts
@@ -112,27 +145,91 @@
                 "the store has come back from an older copy; read the table again"
             )
 
-    async def _wait_for_changes(self, position: int) -> None:
-        page = await self._store.changes(self._table, position, LONG_POLL_S)
+    async def _read_changes(self, position: int, wait_s: float) -> None:
+        try:
+            async with asyncio.timeout(wait_s + self._timing.answer_s):
+                page = await self._store.changes(self._table, position, wait_s)
+        except TimeoutError as exc:
+            raise StoreUncertain("the store did not respond in time") from exc
         self._require_era(self._era)
         if page.rows:
             self._on_rows(page.rows, page.version)
         self._position = max(position, page.version)
 
-    async def _back_off(self, exc: PlatformError, waited_s: float) -> None:
-        if not self.store_lost:
-            self.store_lost = True
-            log.warning(
-                "store_lost",
-                table=self._table,
-                error=str(exc),
-                waited_ms=round(waited_s * 1000),
+    def _forget_position(self) -> None:
+        log.info("store_history_lost", table=self._table)
+        self._position = None
+
+    # Outages.
+
+    async def _regain(self, exc: PlatformError, called_at: float) -> None:
+        """Call until the store answers.
+
+        A call without an answer is not waited for, since the store may have lost it,
+        and not given up at once, since the store may be slow: the calls overlap.
+
+        Args:
+            exc: Failure of the call before.
+            called_at: Loop time of that call, in seconds.
+        """
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        interval_s = BACKOFF_FIRST_S
+        calls: set[asyncio.Task[None]] = set()
+        self._on_unanswered()
+        try:
+            while not await self._is_answered(calls, interval_s, called_at):
+                if loop.time() - began_at >= self._timing.answer_s:
+                    self._note_lost(exc, called_at)
+                interval_s = min(self._timing.retry_s, interval_s * 2)
+        finally:
+            for call in calls:
+                call.cancel()
+        self._note_regained()
+
+    async def _is_answered(
+        self, calls: set[asyncio.Task[None]], interval_s: float, called_at: float
+    ) -> bool:
+        """Add a call to those in progress; report whether one is answered in time."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + interval_s * (0.5 + self._rng.random())
+        calls.add(loop.create_task(self._step(0.0)))
+        while calls and loop.time() < until:
+            done, _ = await asyncio.wait(
+                calls,
+                timeout=until - loop.time(),
+                return_when=asyncio.FIRST_COMPLETED,
             )
-        await asyncio.sleep(self._backoff_s * (0.5 + self._rng.random()))
-        self._backoff_s = min(BACKOFF_MAX_S, self._backoff_s * 2)
+            calls -= done
+            for call in done:
+                exc = call.exception()
+                if exc is None:
+                    return True
+                self._on_failed_call(exc, called_at)
+        await asyncio.sleep(max(0.0, until - loop.time()))
+        return False
+
+    def _on_failed_call(self, exc: BaseException, called_at: float) -> None:
+        if isinstance(exc, HistoryLost):
+            self._forget_position()
+        elif isinstance(exc, PlatformError):
+            self._note_lost(exc, called_at)
+        else:
+            raise exc
 
-    def _on_success(self) -> None:
+    def _note_lost(self, exc: PlatformError, called_at: float) -> None:
+        if self.store_lost:
+            return
+        self.store_lost = True
+        waited_s = asyncio.get_running_loop().time() - called_at
+        log.warning(
+            "store_lost",
+            table=self._table,
+            error=str(exc),
+            waited_ms=round(waited_s * 1000),
+        )
+
+    def _note_regained(self) -> None:
         if self.store_lost:
             self.store_lost = False
             log.info("store_regained", table=self._table, version=self._position)
-        self._backoff_s = BACKOFF_FIRST_S
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -130,6 +130,7 @@
             self._on_member_rows,
             self._broadcast_state,
             rng,
+            env.bounds.config_s,
         )
         self.announcer = Announcer(
             platform.store, zone_rows, env.peer_listen, self.marks.quarantine, rng
@@ -339,6 +340,7 @@
             self.fleet.members.advance(position_of(era, 0))
         if era > known > 0:
             log.warning("store_returned", era=era)
+            self.store_reader.restart()
             self._broadcast_state()
         self.announcer.write_again(era, len(self.fleet.members))
 
--- a/dogwooddock/mesh/storereader.py
+++ b/dogwooddock/mesh/storereader.py
@@ -9,7 +9,8 @@
 import structlog
 
 from ..errors import PlatformError
-from ..policy.readers import is_store_reader
+from ..policy.polling import REGULAR_TIMING, lead_timing
+from ..policy.readers import is_lead_reader, is_store_reader
 from .fleet import Fleet
 from .follower import TableFollower
 from .recordrows import MEMBERS_TABLE
@@ -37,6 +38,9 @@
     starts looks for peers in the rows of its zone first, so that a fleet that starts
     as a whole does not read the tables once per node.
 
+    The lead readers of the fleet call for the configuration often, since the store may
+    forget the calls of all readers without a sign.
+
     Args:
         store: The platform's store.
         zone_rows: Reads the rows of this node's zone.
@@ -46,6 +50,8 @@
         on_members: Called with rows of the members table and their version.
         on_store_lost_change: Called when ``store_lost`` changed.
         rng: Source of the jitter of retry delays.
+        config_bound_s: Time in which a configuration has to be in force everywhere, in
+            seconds.
     """
 
     def __init__(
@@ -58,19 +64,28 @@
         on_members: RowsCallback,
         on_store_lost_change: Callable[[], None],
         rng: Random,
+        config_bound_s: float,
     ):
+        self._lead_timing = lead_timing(config_bound_s)
         self._fleet = fleet
         self._zone_rows = zone_rows
         self._on_store_lost_change = on_store_lost_change
         self._rng = rng
-        self._config = TableFollower(
-            store, config_table, [""], on_config, rng, CONFIG_BATCH_DELAY_S
-        )
         self._members = TableFollower(
             store, MEMBERS_TABLE, None, on_members, rng, MEMBERS_BATCH_DELAY_S
         )
+        self._config = TableFollower(
+            store,
+            config_table,
+            [""],
+            on_config,
+            rng,
+            CONFIG_BATCH_DELAY_S,
+            self._members.restart,
+        )
         self._followers = (self._config, self._members)
         self.active = False
+        self.leads = False
         self.joined = False
 
     @property
@@ -83,6 +98,11 @@
         """Return the coroutine functions to run in the background."""
         return [*(follower.run for follower in self._followers), self._run_role_updates]
 
+    def restart(self) -> None:
+        """Call the store again, since it may have forgotten the calls that wait."""
+        for follower in self._followers:
+            follower.restart()
+
     async def _run_role_updates(self) -> None:
         """Update the store reader role periodically, until cancelled."""
         was_lost = False
@@ -121,11 +141,15 @@
             log.info("zone_not_read", error=str(exc))
 
     def _update_role(self) -> None:
-        peers = self._fleet.zone_peers()
-        active = is_store_reader(self._fleet.address, peers)
-        if active == self.active:
+        zone_peers = self._fleet.zone_peers()
+        active = is_store_reader(self._fleet.address, zone_peers)
+        leads = active and is_lead_reader(
+            self._fleet.address, self.store_lost, self._fleet.linked_peers()
+        )
+        if (active, leads) == (self.active, self.leads):
             return
-        self.active = active
-        log.info("store_reader", active=active, zone_peers=len(peers))
+        self.active, self.leads = active, leads
+        log.info("store_reader", active=active, leads=leads, zone_peers=len(zone_peers))
+        self._config.set_timing(self._lead_timing if leads else REGULAR_TIMING)
         for follower in self._followers:
             follower.set_enabled(active)
--- a/dogwooddock/platform/settings.py
+++ b/dogwooddock/platform/settings.py
@@ -59,6 +59,7 @@
     for name, field in (
         ("drain", "drain_s"),
         ("grace", "grace_s"),
+        ("config", "config_s"),
         ("budget_window", "retry_window_s"),
     ):
         if name in values:
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -6,15 +6,25 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from dogwooddock.policy.readers import READERS_PER_ZONE, ZonePeer, is_store_reader
+from dogwooddock.policy.polling import lead_timing
+from dogwooddock.policy.readers import (
+    LEAD_READERS,
+    READERS_PER_ZONE,
+    LinkedPeer,
+    is_lead_reader,
+    is_store_reader,
+)
+
+# Of the bound: left for the way from a reader to the other nodes.
+CROSS_ZONE_SHARE = 0.3
 
 
 def address(number):
     return f"node-{number:04d}", 7000
 
 
-def zone_peers(numbers, lost=()):
-    return [ZonePeer(address(number), number in lost) for number in numbers]
+def linked_peers(numbers, lost=()):
+    return [LinkedPeer(address(number), number in lost) for number in numbers]
 
 
 @pytest.mark.parametrize(
@@ -32,7 +42,7 @@
     ],
 )
 def test_first_nodes_that_reach_the_store_read_it(own, peers, lost, reads):
-    assert is_store_reader(address(own), zone_peers(peers, lost)) is reads
+    assert is_store_reader(address(own), linked_peers(peers, lost)) is reads
 
 
 @given(
@@ -46,7 +56,7 @@
     reading = {}
     for own in nodes:
         linked = [peer for peer in nodes if peer != own and (own, peer) not in cut]
-        reading[own] = is_store_reader(address(own), zone_peers(linked, lost))
+        reading[own] = is_store_reader(address(own), linked_peers(linked, lost))
     for own in nodes - lost:
         candidates = [
             peer
@@ -59,3 +69,24 @@
         readers = [node for node in connected if reading[node]]
         assert readers == connected[:READERS_PER_ZONE]
         assert all(first < second for first, second in pairwise(readers))
+
+
+@given(
+    nodes=st.sets(st.integers(0, 400), min_size=1, max_size=40),
+    lost=st.sets(st.integers(0, 400), max_size=40),
+)
+def test_first_nodes_that_reach_the_store_lead(nodes, lost):
+    leads = [
+        own
+        for own in sorted(nodes)
+        if is_lead_reader(address(own), own in lost, linked_peers(nodes - {own}, lost))
+    ]
+    able = sorted(nodes - lost)
+    assert set(leads) >= set(able[:LEAD_READERS])
+    assert set(leads) - set(able[:LEAD_READERS]) <= set(sorted(nodes)[:LEAD_READERS])
+
+
+@pytest.mark.parametrize("bound_s", [0.5, 1.0, 2.0, 4.0, 60.0])
+def test_lead_reader_notices_a_forgotten_call_within_the_bound(bound_s):
+    timing = lead_timing(bound_s)
+    assert timing.wait_s + timing.answer_s + CROSS_ZONE_SHARE * bound_s <= bound_s
