--- a/dogwooddock/mesh/gate.py
+++ b/dogwooddock/mesh/gate.py
@@ -26,7 +26,7 @@
 from .marks import MarkExchange
 from .suspects import SuspectQueue
 from .targetconnections import TargetConnections
-from .wireformat import HeaderFormat
+from .wireformat import HeaderFormat, TargetAnswer
 
 SWEEP_PERIOD_S = 0.01
 ANSWER_GRACE_S = 0.08
@@ -56,6 +56,7 @@
         self._target: GateTarget | None = None
         self.connections = TargetConnections()
         self._target_ended = False
+        self._rate_limit: float | None = None
         self.on_target_ended: Callable[[], None] = lambda: None
         self.losses = LossWatch(
             node_id, self.connections, self._on_target_ended, marks.record_loss
@@ -378,6 +379,8 @@
 
     def _on_response(self, gate_call: GateCall, response: Response) -> None:
         answer = self._wire.read_answer(response)
+        if gate_call.target_lifetime == self.losses.lifetime:
+            self._note_conditions(answer)
         reply = MeshReply(Outcome.ANSWERED, status=answer.status, reached=True)
         failed = answer.status >= 500
         if answer.wrong_target:
@@ -398,6 +401,17 @@
         self._release(gate_call, failed)
         self._finish(gate_call, reply)
 
+    def _note_conditions(self, answer: TargetAnswer) -> None:
+        """Take note of the rate limit and the leaving that an answer states."""
+        target_id = self._target.target_id if self._target is not None else ""
+        if answer.rate_limit != self._rate_limit:
+            self._rate_limit = answer.rate_limit
+            log.info(
+                "target_rate_limit", target=target_id, per_s=answer.rate_limit or "none"
+            )
+        if answer.leaving and target_id:
+            log.info("target_leaving", target=target_id)
+
     def _on_failure(
         self, gate_call: GateCall, pool: ConnectionPool, failure: RequestFailure
     ) -> None:
--- a/dogwooddock/mesh/wireformat.py
+++ b/dogwooddock/mesh/wireformat.py
@@ -36,6 +36,9 @@
         wrong_target: Whether another target now uses the address.
         stamped: Whether it has the stamp header, which shows that the target itself
             produced it.
+        rate_limit: Requests a second that the target accepts from all VMs together;
+            None if it names no limit.
+        leaving: Whether the target says that it will end.
     """
 
     status: int
@@ -44,6 +47,8 @@
     not_run: bool
     wrong_target: bool
     stamped: bool
+    rate_limit: float | None = None
+    leaving: bool = False
 
 
 class HeaderFormat(ABC):
--- a/dogwooddock/platform/headers.py
+++ b/dogwooddock/platform/headers.py
@@ -2,6 +2,8 @@
 
 __all__ = ["PlatformHeaders"]
 
+import re
+
 from ..http1.messages import (
     Request,
     Response,
@@ -18,12 +20,15 @@
     NOT_RUN,
     REQUEST_ID,
     RETRY_AFTER,
+    SERVER_LEAVING,
+    SERVER_LIMIT,
     SERVER_STAMP,
 )
 from .values import FormatError
 
 _SET_BY_NODES = frozenset({DEADLINE_MS, EXPECT_INSTANCE, CALLER_SERVICE})
 _NO_HEADERS: frozenset[bytes] = frozenset()
+_DECIMAL = re.compile(rb"\d{1,12}(\.\d{0,12})?")
 
 
 class PlatformHeaders(HeaderFormat):
@@ -81,6 +86,8 @@
             wrong_target or NOT_RUN in response.fields,
             wrong_target,
             SERVER_STAMP in response.fields,
+            _read_rate(response.fields.get(SERVER_LIMIT, b"")),
+            response.fields.get(SERVER_LEAVING) == b"1",
         )
 
     def error_headers(self, request_id: bytes, retry_after_s: float | None) -> bytes:
@@ -102,3 +109,8 @@
         if response.status != 200:
             return ""
         return response.fields.get(INSTANCE_ID, b"").decode("latin-1")
+
+
+def _read_rate(text: bytes) -> float | None:
+    """Parse a decimal number; None if the text is anything else."""
+    return float(text) if _DECIMAL.fullmatch(text) else None
--- a/dogwooddock/platform/names.py
+++ b/dogwooddock/platform/names.py
@@ -12,6 +12,8 @@
     "REQUEST_ID",
     "RETRY_AFTER",
     "RPC_PATH",
+    "SERVER_LEAVING",
+    "SERVER_LIMIT",
     "SERVER_STAMP",
     "SETTINGS_VARIABLE",
     "STORE_ERA",
@@ -26,6 +28,9 @@
 INSTANCE_ID = b"dogwooddock-instance-id"
 NOT_RUN = b"dogwooddock-not-run"
 SERVER_STAMP = b"dogwooddock-server-stamp"
+# Requests a second that a target accepts from all VMs together.
+SERVER_LIMIT = b"server-limit"
+SERVER_LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
 STORE_ERA = b"store-era"
 
