--- a/bench/mesh_standin.py
+++ b/bench/mesh_standin.py
@@ -216,6 +216,9 @@
         crash_after_s: Time that a run takes until it crashes the target, in seconds;
             a request with an earlier deadline is answered with 504 at its deadline.
         failing: Whether the target answers each run with 500 at once.
+        rate_limit: Requests a second that its answers name as its limit; empty for
+            none.
+        leaving: Whether its answers say that it leaves.
     """
 
     work_s: float = 0.0
@@ -231,6 +234,8 @@
     crash_silently: bool = False
     crash_after_s: float = 0.0
     failing: bool = False
+    rate_limit: str = ""
+    leaving: bool = False
 
 
 @dataclass
@@ -467,6 +472,10 @@
 
     def _header_block(self, request_id: str, stamp: bool = False) -> bytes:
         block = f"Dogwooddock-Request-Id: {request_id}\r\n"
+        if self.mode.rate_limit:
+            block += f"Server-Limit: {self.mode.rate_limit}\r\n"
+        if self.mode.leaving:
+            block += "Server-Leaving: 1\r\n"
         if stamp:
             block += f"Dogwooddock-Server-Stamp: {self.target_id}\r\n"
         return block.encode()
