Follow the rate limit that a target names in its answers

Cause: the gate bounded calls in progress, not calls a second; the header was not known.

The queue gives the allowance to the most important calls; a call that would wait longer than a second is refused as not-run, and reported limit, wait and level follow the rate. A call that is sent again after an idle connection was reset is charged as well.

--- a/bench/chainsim.py
+++ b/bench/chainsim.py
@@ -322,7 +322,7 @@
                 False,
                 spec.name,
                 admission.expected_service_s(self.now, spec.name),
-                admission.expected_wait_s,
+                admission.expected_wait_s(self.now),
             )
             node.levels.update(str(gate.node_id), gate_level, self.now)
             node.levels.update_smoothed(spec.name, level, self.now)
@@ -400,7 +400,7 @@
         service_s = self.now - started_at
         gate.admission.finish(self.now, gate_call.call, service_s, gate_call.failed)
         gate_call.done(not gate_call.failed, gate_call.downstream_level)
-        for queued in gate.admission.admit_waiting():
+        for queued in gate.admission.admit_waiting(self.now):
             waiting = gate.waiting.pop(queued)
             self._start(gate, waiting)
 
--- a/dogwooddock/mesh/gate.py
+++ b/dogwooddock/mesh/gate.py
@@ -38,7 +38,7 @@
 
 
 class Gate:
-    """Allocate the target's slots and send calls to it.
+    """Allocate the target's slots and its rate, and send calls to it.
 
     Args:
         wire: Header format of the platform.
@@ -100,6 +100,8 @@
         if changed or self._target_ended:
             self.connections.set_target(target.address)
             self.losses.watch(target.born_ms)
+            if self._rate_limit is not None:
+                self._set_rate_limit(None)
         self._target = target
         self._target_ended = False
         self._limit.resize(1, target.slots)
@@ -136,11 +138,11 @@
         admission = self.admission
         usable = self.accepting and not self.connections.target_down
         return GateLoad(
-            self._limit.value if usable else 0,
+            admission.concurrency if usable else 0,
             admission.in_flight,
             admission.queued,
             admission.level(now),
-            admission.expected_wait_s,
+            admission.expected_wait_s(now),
             self.accepting,
             admission.expected_service_s(now, kind),
         )
@@ -271,7 +273,10 @@
             self._loop.call_later(SWEEP_PERIOD_S, self._sweep)
 
     def _sweep(self) -> None:
-        """Refuse waiting calls that can no longer be answered before their deadline."""
+        """Refuse waiting calls that cannot be answered in time, and admit others.
+
+        A rate limit may allow a further call though no slot was freed.
+        """
         self._sweeping = False
         now = self._loop.time()
         for queued, gate_call in list(self._waiting.items()):
@@ -283,11 +288,14 @@
                 del self._waiting[queued]
                 self.admission.expire(queued)
                 self._refuse(gate_call, Reason.DEADLINE)
+        self._dispatch_next()
+        for queued in self.admission.drop_overdue(now):
+            self._refuse(self._waiting.pop(queued), Reason.OVERLOAD)
         if self._waiting:
             self._schedule_sweep()
 
     def _dispatch_next(self) -> None:
-        for queued in self.admission.admit_waiting():
+        for queued in self.admission.admit_waiting(self._loop.time()):
             gate_call = self._waiting.pop(queued)
             self._dispatch(gate_call)
 
@@ -403,14 +411,20 @@
 
     def _note_conditions(self, answer: TargetAnswer) -> None:
         """Take note of the rate limit and the leaving that an answer states."""
-        target_id = self._target.target_id if self._target is not None else ""
+        target = self._target
+        if target is None:
+            return
         if answer.rate_limit != self._rate_limit:
-            self._rate_limit = answer.rate_limit
-            log.info(
-                "target_rate_limit", target=target_id, per_s=answer.rate_limit or "none"
-            )
-        if answer.leaving and target_id:
-            log.info("target_leaving", target=target_id)
+            self._set_rate_limit(answer.rate_limit)
+        if answer.leaving:
+            log.info("target_leaving", target=target.target_id)
+
+    def _set_rate_limit(self, per_s: float | None) -> None:
+        self._rate_limit = per_s
+        self.admission.rate.set(self._loop.time(), per_s)
+        target_id = self._target.target_id if self._target is not None else ""
+        shown = "none" if per_s is None else per_s
+        log.info("target_rate_limit", target=target_id, per_s=shown)
 
     def _on_failure(
         self, gate_call: GateCall, pool: ConnectionPool, failure: RequestFailure
@@ -423,6 +437,7 @@
         )
         if likely_idle_close and call.idempotent and not gate_call.resent:
             gate_call.resent = True
+            self.admission.rate.take(self._loop.time())
             gate_call.stage = Stage.CONNECTING
             self._loop.create_task(self._connect(gate_call, pool))
             return
--- a/dogwooddock/mesh/metrics.py
+++ b/dogwooddock/mesh/metrics.py
@@ -64,6 +64,7 @@
             "in_flight": load.in_flight,
             "queued": load.queued,
             "level": load.level,
+            "rate_limit_per_s": node.gate.admission.rate.per_s,
         },
         "in_flight": node.ingress.in_flight,
         "members": [
@@ -102,6 +103,7 @@
         "queued": load.queued,
         "limit": load.limit,
         "level": load.level,
+        "rate_limit_per_s": node.gate.admission.rate.per_s or 0,
         "config_version": node.config.version,
         "members": len(node.fleet.members),
         "quarantined": len(node.marks.quarantine),
--- a/dogwooddock/policy/admission.py
+++ b/dogwooddock/policy/admission.py
@@ -1,14 +1,16 @@
-"""Admission control for one target: concurrency limit and priority queue."""
+"""Admission control for one target: limits on concurrency and rate, and a queue."""
 
 __all__ = ["AdmissionController", "Decision", "QueuedCall", "Verdict"]
 
 import bisect
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
 from .levels import LevelController
 from .limits import ConcurrencyLimit
 from .outcomes import Reason
+from .ratelimit import RateLimit
 
 SERVICE_TIME_SMOOTHING = 0.2
 INITIAL_SERVICE_TIME_S = 0.01
@@ -17,6 +19,8 @@
 BASE_QUEUE_SHARE = 0.5
 QUEUE_SHARE_PER_CLASS = 1 / 3
 MAX_IMPORTANCE = 9
+# Longest wait for a rate limit, and the work that may wait, at that rate, in seconds.
+RATE_LIMITED_QUEUE_S = 1.0
 MAX_CALLERS = 1024
 
 
@@ -43,6 +47,7 @@
         level_class: Importance class that the admission level counts the call in;
             -1 for its own importance.
         sort_key: Queue order, set on arrival; the lowest key goes first.
+        queued_at: Monotonic time at which it was queued, in seconds.
     """
 
     attempt_id: str
@@ -54,6 +59,7 @@
     ready: bool = True
     level_class: int = -1
     sort_key: tuple[int, int, float, float] = (0, 0, 0.0, 0.0)
+    queued_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +90,10 @@
 class AdmissionController:
     """Admit calls to the slots of one target and queue those that have to wait.
 
+    A call is admitted if a slot is free and the target's rate limit allows one more.
+    With a rate limit, the most important calls get the allowance, and no call waits
+    longer than RATE_LIMITED_QUEUE_S.
+
     The queue is ordered by importance, then depth (both highest first), then the
     caller's fair queueing tag, then deadline. If the queue is full, an arriving call
     displaces the last queued call, or is refused if it would itself be the last.
@@ -92,6 +102,7 @@
         limit: Limit on the requests in flight.
         capacity: Base of the queue capacity, in calls. A call of importance 0 may
             queue up to half of it, and each class above adds a third of it.
+        rate: Limit on the calls that are admitted per second.
     """
 
     limit: ConcurrencyLimit
@@ -99,6 +110,7 @@
     in_flight: int = 0
     draining: bool = False
     level_controller: LevelController = field(default_factory=LevelController)
+    rate: RateLimit = field(default_factory=RateLimit)
     _queue: list[QueuedCall] = field(default_factory=list)
     _service_times: dict[str, _ServiceTimeEstimate] = field(default_factory=dict)
     _mean_service_s: float = INITIAL_SERVICE_TIME_S
@@ -115,15 +127,21 @@
         """Return the moving average of the service time of all kinds, in seconds."""
         return self._mean_service_s
 
-    @property
-    def expected_wait_s(self) -> float:
+    def expected_wait_s(self, now: float) -> float:
         """Return the queueing delay of a call at the end of the queue, in seconds."""
-        return self._queueing_delay_s(len(self._queue)) if self._saturated else 0.0
+        if not self._queue and self._has_room(now):
+            return 0.0
+        return self._queueing_delay_s(now, len(self._queue))
+
+    def _has_room(self, now: float) -> bool:
+        """Report whether a call may be admitted now."""
+        return self.in_flight < self.limit.value and self.rate.allows(now)
 
     @property
-    def _saturated(self) -> bool:
-        """Report whether a new call has to wait."""
-        return bool(self._queue) or self.in_flight >= self.limit.value
+    def concurrency(self) -> int:
+        """Return the requests that the target may run at once within its rate limit."""
+        sustained = self.rate.concurrency(self._mean_service_s)
+        return max(1, math.ceil(min(self.limit.value, sustained)))
 
     def arrive(self, now: float, call: QueuedCall) -> Decision:
         """Admit, queue or refuse an arriving call.
@@ -138,16 +156,21 @@
         service_s = self.expected_service_s(now, call.kind)
         if now + service_s * 0.5 >= call.deadline:
             return Decision(Verdict.REFUSE, Reason.DEADLINE)
-        if call.ready and not self._queue and self.in_flight < self.limit.value:
-            self.in_flight += 1
+        if call.ready and not self._queue and self._has_room(now):
+            self._occupy_slot(now)
             return _ADMITTED
         self._assign_sort_key(call)
+        call.queued_at = now
         position = bisect.bisect_left(self._queue, call.sort_key, key=_sort_key)
-        if now + self._queueing_delay_s(position) + service_s > call.deadline:
+        if now + self._queueing_delay_s(now, position) + service_s > call.deadline:
             self.level_controller.record_refusal()
             return Decision(Verdict.REFUSE, Reason.DEADLINE)
         return self._enqueue(call, position)
 
+    def _occupy_slot(self, now: float) -> None:
+        self.in_flight += 1
+        self.rate.take(now)
+
     def _enqueue(self, call: QueuedCall, position: int) -> Decision:
         displaced = None
         if position >= self._queue_capacity(
@@ -164,7 +187,8 @@
     def _queue_capacity(self, importance: int) -> int:
         """Return the queue length up to which a call of this importance may wait."""
         share = BASE_QUEUE_SHARE + QUEUE_SHARE_PER_CLASS * importance
-        return max(MIN_QUEUED_CALLS, int(self.capacity * share))
+        capacity = min(self.capacity, self.rate.concurrency(RATE_LIMITED_QUEUE_S))
+        return max(MIN_QUEUED_CALLS, int(capacity * share))
 
     def _assign_sort_key(self, call: QueuedCall) -> None:
         """Set the call's sort key and advance its caller's finish tag."""
@@ -174,10 +198,11 @@
         self._finish_tags[call.caller] = tag
         call.sort_key = (-call.importance, -call.depth, tag, call.deadline)
 
-    def _queueing_delay_s(self, position: int) -> float:
-        """Return the expected delay until a call at a position gets a slot."""
+    def _queueing_delay_s(self, now: float, position: int) -> float:
+        """Return the expected delay until a call at a position is admitted."""
         ahead = position + max(0, self.in_flight - self.limit.value + 1)
-        return ahead * self._mean_service_s / self.limit.value
+        slot_delay_s = ahead * self._mean_service_s / self.limit.value
+        return max(slot_delay_s, self.rate.delay_s(now, position))
 
     def expected_service_s(self, now: float, kind: str) -> float:
         """Return the expected service time of a kind in seconds; 0 if not known.
@@ -194,18 +219,18 @@
         """Mark a queued call as ready for dispatch."""
         call.ready = True
 
-    def admit_waiting(self) -> list[QueuedCall]:
-        """Remove ready calls from the queue while slots are free, and return them."""
+    def admit_waiting(self, now: float) -> list[QueuedCall]:
+        """Remove ready calls from the queue while there is room, and return them."""
         admitted = []
         index = 0
-        while index < len(self._queue) and self.in_flight < self.limit.value:
+        while index < len(self._queue) and self._has_room(now):
             call = self._queue[index]
             if not call.ready:
                 index += 1
                 continue
             del self._queue[index]
             self._virtual_time = max(self._virtual_time, call.sort_key[2])
-            self.in_flight += 1
+            self._occupy_slot(now)
             admitted.append(call)
         return admitted
 
@@ -221,6 +246,16 @@
         if self.withdraw(call):
             self.level_controller.record_refusal()
 
+    def drop_overdue(self, now: float) -> list[QueuedCall]:
+        """Remove and return the calls that have waited too long for the rate limit."""
+        if self.rate.per_s is None:
+            return []
+        latest = now - RATE_LIMITED_QUEUE_S
+        overdue = [call for call in self._queue if call.queued_at < latest]
+        for call in overdue:
+            self.expire(call)
+        return overdue
+
     def drop_all(self) -> list[QueuedCall]:
         """Empty the queue and return the calls that were in it."""
         dropped, self._queue = self._queue, []
@@ -252,8 +287,17 @@
 
     def level(self, now: float) -> int:
         """Return the admission level in hundredths of an importance class."""
-        utilization = (self.in_flight + len(self._queue)) / self.limit.value
-        return self.level_controller.value(now, utilization)
+        load = self.in_flight + len(self._queue)
+        return self.level_controller.value(now, load / self._sustained_load)
+
+    @property
+    def _sustained_load(self) -> float:
+        """Return the calls in flight and queued at which the target is fully used.
+
+        A rate limit needs a short queue, so that its allowance is used.
+        """
+        short_queue = self.rate.concurrency(RATE_LIMITED_QUEUE_S * BASE_QUEUE_SHARE)
+        return min(self.limit.value, max(self.concurrency, short_queue))
 
 
 def _sort_key(call: QueuedCall) -> tuple[int, int, float, float]:
--- a/dogwooddock/targets/slots.py
+++ b/dogwooddock/targets/slots.py
@@ -105,7 +105,7 @@
 
     def grant(self) -> None:
         """Admit waiting calls while slots are free; the lock must be held."""
-        for call in self._admission().admit_waiting():
+        for call in self._admission().admit_waiting(self._clock()):
             waiter = self._waiters.get(call.attempt_id)
             if waiter is None:
                 self._admission().release_slot()
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -38,7 +38,7 @@
     assert admission.arrive(0.0, second).verdict is Verdict.WAIT
     admission.release_slot()
     admission.release_slot()
-    assert [item.attempt_id for item in admission.admit_waiting()] == expected
+    assert [item.attempt_id for item in admission.admit_waiting(0.0)] == expected
 
 
 def test_important_call_displaces_the_least_important_queued_call():
@@ -59,7 +59,7 @@
     assert decision.verdict is Verdict.WAIT
     admission.in_flight -= 1
     admission.limit.resize(1, 2)
-    admitted = [item.caller for item in admission.admit_waiting()]
+    admitted = [item.caller for item in admission.admit_waiting(0.0)]
     assert sorted(admitted) == ["greedy", "modest"]
 
 
@@ -94,7 +94,7 @@
     for index, (importance, depth, finishes) in enumerate(arrivals):
         if finishes and admission.in_flight:
             admission.release_slot()
-            for item in admission.admit_waiting():
+            for item in admission.admit_waiting(0.0):
                 waiting.pop(item.attempt_id)
         arrival = call(f"c{index}", importance, depth)
         decision = admission.arrive(0.0, arrival)
