Take a target whose answers say that it leaves for draining

Cause: a gate went by heartbeats alone, so a target that said in its answers that it leaves was used until a heartbeat said so.

Change: such an answer moves the target's lifetime to draining, as a heartbeat would: the gate refuses from that instant, the record is written and told to peers before the answer is passed on, so that they also correct a gate that restarts. A later lifetime starts anew.

--- a/dogwooddock/mesh/gate.py
+++ b/dogwooddock/mesh/gate.py
@@ -58,6 +58,7 @@
         self._target_ended = False
         self._rate_limit: float | None = None
         self.on_target_ended: Callable[[], None] = lambda: None
+        self.on_target_leaving: Callable[[str], None] = lambda target_id: None
         self.losses = LossWatch(
             node_id, self.connections, self._on_target_ended, marks.record_loss
         )
@@ -417,7 +418,7 @@
         if answer.rate_limit != self._rate_limit:
             self._set_rate_limit(answer.rate_limit)
         if answer.leaving:
-            log.info("target_leaving", target=target.target_id)
+            self.on_target_leaving(target.target_id)
 
     def _set_rate_limit(self, per_s: float | None) -> None:
         self._rate_limit = per_s
--- a/dogwooddock/mesh/heartbeats.py
+++ b/dogwooddock/mesh/heartbeats.py
@@ -66,6 +66,7 @@
         self._drain_requested_at: float | None = None
         self.record: NodeRecord | None = None
         gate.on_target_ended = self._require_health_check
+        gate.on_target_leaving = self._on_leaving_answer
 
     async def recover(self) -> None:
         """Load the state that an earlier process of this node wrote to the store.
@@ -151,6 +152,12 @@
         self._apply(current)
         return self._may_acknowledge(current)
 
+    def _on_leaving_answer(self, target_id: str) -> None:
+        """Take the target for draining, whatever its heartbeats say."""
+        if self._tracker.observe_leaving(target_id):
+            log.info("target_leaving", target=target_id)
+            self.reapply()
+
     def _may_acknowledge(self, current: Heartbeat) -> bool:
         """Report whether a message about this state may be acknowledged now.
 
--- a/dogwooddock/policy/lifetimes.py
+++ b/dogwooddock/policy/lifetimes.py
@@ -87,6 +87,19 @@
         self.current = replace(heartbeat, state=state)
         return (state, heartbeat.slots) != (known.state, known.slots)
 
+    def observe_leaving(self, target_id: str) -> bool:
+        """Process an answer that says that a target leaves.
+
+        The result is False for any target but the current one, and if that is known.
+        """
+        known = self.current
+        if known is None or known.target_id != target_id:
+            return False
+        if known.state is not TargetState.READY:
+            return False
+        self.current = replace(known, state=TargetState.DRAINING)
+        return True
+
     def observe_leave(self, target_id: str, born_ms: int, sequence: int) -> bool:
         """Process a leave message; return whether the target's state changed.
 
