Keep the limit of a target that refuses a call without naming it

Cause: an answer without the header ended the limit, also a refusal of the target (not-run), so that a target that sheds and limits in turn got bursts. Change: only the answer of a run ends a limit. The stand-in counts arrivals by time, refused ones included.

--- a/bench/mesh_standin.py
+++ b/bench/mesh_standin.py
@@ -262,7 +262,8 @@
         mode: Behaviour of the target.
         born_ms: Start of this lifetime, in milliseconds since the epoch.
         runs: Requests that it ran, in order of arrival.
-        arrivals: Requests received, health checks aside.
+        arrived_at: Times at which requests were received, health checks aside, in
+            seconds.
         aborted_runs: Runs whose connection was closed before the answer.
         crashed: Whether the target has crashed and was not restarted.
         state: State that heartbeats report.
@@ -277,7 +278,7 @@
     mode: TargetMode = field(default_factory=TargetMode)
     born_ms: int = field(default_factory=lambda: int(time.time() * 1000))
     runs: list[Run] = field(default_factory=list)
-    arrivals: int = 0
+    arrived_at: list[float] = field(default_factory=list)
     aborted_runs: int = 0
     crashed: bool = False
     state: str = "ready"
@@ -385,7 +386,7 @@
             block = f"Dogwooddock-Instance-Id: {self.target_id}\r\n".encode()
             exchange.respond(200 if healthy else 503, block, b"")
             return
-        self.arrivals += 1
+        self.arrived_at.append(time.monotonic())
         idle_since = self._answered_at.get(exchange.conn_id, time.monotonic())
         if time.monotonic() - idle_since > self.mode.reset_after_idle_s:
             exchange.write_raw(b"", reset=True)
--- a/dogwooddock/mesh/gate.py
+++ b/dogwooddock/mesh/gate.py
@@ -411,11 +411,16 @@
         self._finish(gate_call, reply)
 
     def _note_conditions(self, answer: TargetAnswer) -> None:
-        """Take note of the rate limit and the leaving that an answer states."""
+        """Take note of the rate limit and the leaving that an answer states.
+
+        Only the answer of a run ends a limit: a refusal may come from a part of the
+        target that does not know of it.
+        """
         target = self._target
         if target is None:
             return
-        if answer.rate_limit != self._rate_limit:
+        states_limit = answer.rate_limit is not None or answer.stamped
+        if states_limit and answer.rate_limit != self._rate_limit:
             self._set_rate_limit(answer.rate_limit)
         if answer.leaving:
             self.on_target_leaving(target.target_id)
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -267,7 +267,7 @@
             busy.outstanding = 1000
             answer = await first.send_request(path, method=method)
             assert answer.status == status
-            assert first.target.arrivals >= 1
+            assert len(first.target.arrived_at) >= 1
             assert len(fleet.runs) == runs
 
     run(scenario())
--- a/tests/test_mesh_target_limits.py
+++ b/tests/test_mesh_target_limits.py
@@ -6,7 +6,13 @@
 
 import pytest
 
-from .mesh_helpers import restart_node, running_fleet, status_of, wait_until
+from .mesh_helpers import (
+    restart_node,
+    running_fleet,
+    send_first_heartbeat,
+    status_of,
+    wait_until,
+)
 
 POOLS = ("shop", "shop", "shop")
 # Bounds of the deployment: requests in a window beyond the limit, and their start.
@@ -27,6 +33,7 @@
     request_id: str
     path: str
     at: float
+    node: int
     status: int = -1
 
 
@@ -50,9 +57,10 @@
         number = len(self.sent)
         is_order = number % ORDERS_EACH == 0
         path = f"/order/{number}" if is_order else f"/read/{number}"
-        sent = Sent(f"req-{number}", path, self._loop.time())
+        node = number % len(self.fleet.vms)
+        sent = Sent(f"req-{number}", path, self._loop.time(), node)
         self.sent.append(sent)
-        vm = self.fleet.vms[number % len(self.fleet.vms)]
+        vm = self.fleet.vms[node]
         method = "POST" if is_order else "GET"
         try:
             result = await vm.send_request(path, sent.request_id, method=method)
@@ -70,9 +78,9 @@
         ]
 
 
-def most_in_window(runs, since):
+def most_in_window(arrived_at, since):
     """Return the most requests that a target got in any window from a time on."""
-    times = [run.at for run in runs if run.at >= since]
+    times = [at for at in arrived_at if at >= since]
     return max(
         (sum(1 for at in times if start <= at < start + WINDOW_S) for start in times),
         default=0,
@@ -115,14 +123,13 @@
                 name_limit(fleet, text)
                 await load.play(1.0)
             if restart:
-                await restart_node(fleet.vms[0])
+                await restart_and_serve(fleet.vms[0])
             since = load._loop.time() + STABILITY_S
             await load.play(STABILITY_S + WINDOW_S + 0.5)
             await load.finish()
             for vm in fleet.vms[1:] if restart else fleet.vms:
-                assert most_in_window(vm.target.runs, since) <= allowed(
-                    float(limits[-1])
-                )
+                arrived = vm.target.arrived_at
+                assert most_in_window(arrived, since) <= allowed(float(limits[-1]))
             ran = {run.request_id for run in fleet.runs}
             refused = {sent.request_id for sent in load.sent if sent.status == 503}
             assert refused and not refused & ran
@@ -130,6 +137,57 @@
     run(scenario())
 
 
+def test_refusals_that_name_no_limit_do_not_end_it():
+    async def scenario():
+        async with loaded_fleet() as (fleet, load):
+            name_limit(fleet, "6")
+            await load.play(1.0)
+            since = load._loop.time() + STABILITY_S
+            while load._loop.time() < since + WINDOW_S:
+                for is_shedding in (True, False):
+                    name_limit(fleet, "" if is_shedding else "6")
+                    for vm in fleet.vms:
+                        vm.target.mode.shed = is_shedding
+                    await load.play(0.3)
+            await load.finish()
+            for vm in fleet.vms:
+                arrived = vm.target.arrived_at
+                assert most_in_window(arrived, since) <= allowed(6)
+
+    run(scenario())
+
+
+async def restart_and_serve(vm):
+    await restart_node(vm)
+    await send_first_heartbeat(vm)
+
+
+def test_limit_holds_through_a_restart_of_the_gate_under_load():
+    async def scenario():
+        async with loaded_fleet(per_s=150.0) as (fleet, load):
+            for vm in fleet.vms:
+                vm.target.mode.work_s = 0.5
+                vm.target.slots = 40
+                await vm.target.send_heartbeat()
+            name_limit(fleet, "4")
+            await load.play(2.0)
+            since = load._loop.time() + STABILITY_S - 2.0
+            await load.play(STABILITY_S)
+            restarting = load._loop.create_task(restart_and_serve(fleet.vms[0]))
+            await load.play(WINDOW_S)
+            await restarting
+            await load.finish()
+            local = {sent.request_id for sent in load.sent if sent.node == 0}
+            arrived = [
+                run.at
+                for run in fleet.vms[0].target.runs
+                if run.request_id not in local
+            ]
+            assert most_in_window(arrived, since) <= allowed(4)
+
+    run(scenario())
+
+
 def test_important_requests_are_served_first_within_the_limit():
     async def scenario():
         async with loaded_fleet() as (fleet, load):
