Let only refusals leave the limit out in the test of refusals

The test was wrong: it also took the limit from the answers of runs, which does end a limit. Now the stand-in leaves it out of refusals alone, with the same bound and load.

--- a/bench/mesh_standin.py
+++ b/bench/mesh_standin.py
@@ -218,6 +218,7 @@
         failing: Whether the target answers each run with 500 at once.
         rate_limit: Requests a second that its answers name as its limit; empty for
             none.
+        limit_in_refusals: Whether refusals name the limit as well.
         leaving: Whether its answers say that it leaves.
     """
 
@@ -235,6 +236,7 @@
     crash_after_s: float = 0.0
     failing: bool = False
     rate_limit: str = ""
+    limit_in_refusals: bool = True
     leaving: bool = False
 
 
@@ -396,12 +398,10 @@
         if fields.get(b"dogwooddock-expect-instance", b"").decode() != self.target_id:
             exchange.respond(421, self._header_block(request_id), b"")
         elif self.mode.shed:
-            block = self._header_block(request_id) + b"Dogwooddock-Not-Run: 1\r\n"
-            exchange.respond(503, block, b"")
+            exchange.respond(503, self._refusal_block(request_id), b"")
         elif self._busy >= self.slots:
             if not self.mode.hang_when_full:
-                block = self._header_block(request_id) + b"Dogwooddock-Not-Run: 1\r\n"
-                exchange.respond(503, block, b"")
+                exchange.respond(503, self._refusal_block(request_id), b"")
         else:
             self._busy += 1
             task = asyncio.get_running_loop().create_task(self._run(exchange))
@@ -471,9 +471,16 @@
                 return 500
         return 0
 
-    def _header_block(self, request_id: str, stamp: bool = False) -> bytes:
+    def _refusal_block(self, request_id: str) -> bytes:
+        names_limit = self.mode.limit_in_refusals
+        block = self._header_block(request_id, names_limit=names_limit)
+        return block + b"Dogwooddock-Not-Run: 1\r\n"
+
+    def _header_block(
+        self, request_id: str, stamp: bool = False, names_limit: bool = True
+    ) -> bytes:
         block = f"Dogwooddock-Request-Id: {request_id}\r\n"
-        if self.mode.rate_limit:
+        if self.mode.rate_limit and names_limit:
             block += f"Server-Limit: {self.mode.rate_limit}\r\n"
         if self.mode.leaving:
             block += "Server-Leaving: 1\r\n"
--- a/tests/test_mesh_target_limits.py
+++ b/tests/test_mesh_target_limits.py
@@ -141,11 +141,12 @@
     async def scenario():
         async with loaded_fleet() as (fleet, load):
             name_limit(fleet, "6")
+            for vm in fleet.vms:
+                vm.target.mode.limit_in_refusals = False
             await load.play(1.0)
             since = load._loop.time() + STABILITY_S
             while load._loop.time() < since + WINDOW_S:
                 for is_shedding in (True, False):
-                    name_limit(fleet, "" if is_shedding else "6")
                     for vm in fleet.vms:
                         vm.target.mode.shed = is_shedding
                     await load.play(0.3)
