End a follower that is restarted and cancelled at once, and call less in an outage

Cause: a follower that was restarted took the cancellation of its own task in the same moment for the restart, and ran on. Also, all nodes of a zone that lost the store called again each second at most; with calls that overlap this is more than before, and lead readers make it needless: others now wait up to 2 s.

--- a/dogwooddock/mesh/follower.py
+++ b/dogwooddock/mesh/follower.py
@@ -112,7 +112,7 @@
         try:
             await poll
         except asyncio.CancelledError:
-            if not self._poll_restarted:
+            if not self._poll_restarted or _is_cancelled():
                 raise
         finally:
             self._poll = None
@@ -233,3 +233,9 @@
         if self.store_lost:
             self.store_lost = False
             log.info("store_regained", table=self._table, version=self._position)
+
+
+def _is_cancelled() -> bool:
+    """Report whether the current task is to be cancelled itself."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
--- a/dogwooddock/policy/polling.py
+++ b/dogwooddock/policy/polling.py
@@ -27,7 +27,7 @@
     retry_s: float
 
 
-REGULAR_TIMING = PollTiming(wait_s=8.0, answer_s=1.5, retry_s=1.0)
+REGULAR_TIMING = PollTiming(wait_s=8.0, answer_s=1.5, retry_s=2.0)
 
 
 def lead_timing(bound_s: float) -> PollTiming:
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -156,3 +156,19 @@
         }
 
     asyncio.run(scenario())
+
+
+def test_follower_that_is_restarted_and_cancelled_at_once_ends():
+    async def scenario():
+        follower = TableFollower(
+            MemoryRowStore(), "t", [""], lambda *_: None, Random(1)
+        )
+        follower.set_enabled(True)
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.05)
+        follower.restart()
+        task.cancel()
+        await asyncio.wait([task], timeout=1.0)
+        assert task.cancelled()
+
+    asyncio.run(scenario())
