Tell a gate that has restarted the rate limit of its target

Cause: the limit lived in the gate's memory only. A gate that restarted sent a call per slot until the first answer of its target; requests that began at other VMs are not excused by its restart.

Change: replies name the limit, calls carry the limit that their sender knows, and a gate without an answer of its target follows it. Two optional fields on the wire; nodes of the build before ignore them.

--- a/dogwooddock/mesh/calls.py
+++ b/dogwooddock/mesh/calls.py
@@ -36,6 +36,8 @@
             class; the same on every hop.
         repeat: Whether this attempt or an upstream call is a retry that was charged to
             a retry budget.
+        rate_limit: Requests a second that the target accepts, as far as the sender
+            knows; 0 for no limit. A gate that has restarted may not know it.
     """
 
     request_id: bytes
@@ -53,6 +55,7 @@
     fingerprint: str
     rank: int = 0
     repeat: bool = False
+    rate_limit: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +72,7 @@
         accepting: Whether the gate accepts new calls.
         service_s: Mean service time of the kind of call that is answered, over the
             calls of all nodes, in seconds; 0 if unknown.
+        rate_limit: Requests a second that the target accepts; 0 for no limit.
     """
 
     limit: int = 0
@@ -78,6 +82,7 @@
     wait_s: float = 0.0
     accepting: bool = False
     service_s: float = 0.0
+    rate_limit: float = 0.0
 
 
 @dataclass(slots=True)
--- a/dogwooddock/mesh/fleet.py
+++ b/dogwooddock/mesh/fleet.py
@@ -22,6 +22,7 @@
 MAX_IDLE_PROBES_PER_S = 4.0
 UNUSABLE_EJECT_S = 0.2
 MAX_PRECONNECTED_POOLS = 16
+MAX_RATE_LIMITS = 4096
 DIALLED_ZONE_PEERS = READERS_PER_ZONE + 1
 
 Address = tuple[str, int]
@@ -55,6 +56,7 @@
         "kind",
         "link",
         "sent_at",
+        "target_id",
     )
 
     def __init__(
@@ -63,6 +65,7 @@
         self.candidate = candidate
         self.kind = call.route
         self.fingerprint = call.fingerprint
+        self.target_id = call.target_id
         self.born_ms = born_ms
         self.sent_at = sent_at
         self._gate: Gate | None = None
@@ -113,6 +116,7 @@
         self.members = MemberTable(self._on_pool_change, self._on_target_replaced)
         self.selector = Selector(zone)
         self.levels = LevelTable()
+        self._rate_limits: dict[str, float] = {}
 
     def _on_pool_change(self, pool: str) -> None:
         records = self.members.ready_records(pool)
@@ -213,6 +217,7 @@
         born_ms = record.born_ms if record is not None else 0
         outbound = OutboundCall(candidate, call, born_ms, self._loop.time())
         self.selector.record_sent(candidate)
+        call.rate_limit = self._rate_limits.get(call.target_id, 0.0)
 
         def on_reply(reply: MeshReply) -> None:
             self._record_reply(outbound, reply)
@@ -230,6 +235,7 @@
     def _record_reply(self, outbound: OutboundCall, reply: MeshReply) -> None:
         now = self._loop.time()
         candidate = outbound.candidate
+        self._note_rate_limit(outbound.target_id, reply)
         if reply.reason is Reason.PEER_FAILED:
             self.selector.record_lost(candidate, now)
             self._record_unanswered(outbound, now)
@@ -257,6 +263,15 @@
             )
         self.levels.update(str(candidate.node_id), load.level, now)
 
+    def _note_rate_limit(self, target_id: str, reply: MeshReply) -> None:
+        """Remember the rate limit of a target, in case that its gate restarts."""
+        if reply.load.rate_limit:
+            self._rate_limits[target_id] = reply.load.rate_limit
+        elif reply.outcome is Outcome.ANSWERED:
+            self._rate_limits.pop(target_id, None)
+        if len(self._rate_limits) > MAX_RATE_LIMITS:
+            self._rate_limits.clear()
+
     def _record_unanswered(self, outbound: OutboundCall, now: float) -> None:
         """Remember a run at a gate that may be gone together with its target."""
         lifetime = TargetLifetime(outbound.candidate.node_id, outbound.born_ms)
--- a/dogwooddock/mesh/gate.py
+++ b/dogwooddock/mesh/gate.py
@@ -57,6 +57,7 @@
         self.connections = TargetConnections()
         self._target_ended = False
         self._rate_limit: float | None = None
+        self._rate_limit_known = False
         self.on_target_ended: Callable[[], None] = lambda: None
         self.on_target_leaving: Callable[[str], None] = lambda target_id: None
         self.losses = LossWatch(
@@ -101,8 +102,8 @@
         if changed or self._target_ended:
             self.connections.set_target(target.address)
             self.losses.watch(target.born_ms)
-            if self._rate_limit is not None:
-                self._set_rate_limit(None)
+            self._rate_limit_known = False
+            self._set_rate_limit(None)
         self._target = target
         self._target_ended = False
         self._limit.resize(1, target.slots)
@@ -146,6 +147,7 @@
             admission.expected_wait_s(now),
             self.accepting,
             admission.expected_service_s(now, kind),
+            admission.rate.per_s or 0.0,
         )
 
     def parent_of(self, request_id: bytes) -> GateCall | None:
@@ -175,6 +177,8 @@
             level_class=call.rank // LEVEL_SCALE,
         )
         gate_call = GateCall(call, done, queued)
+        if call.rate_limit and not self._rate_limit_known:
+            self._adopt_rate_limit(call)
         self._arrive(gate_call)
         return gate_call
 
@@ -420,12 +424,21 @@
         if target is None:
             return
         states_limit = answer.rate_limit is not None or answer.stamped
-        if states_limit and answer.rate_limit != self._rate_limit:
+        if states_limit:
+            self._rate_limit_known = True
             self._set_rate_limit(answer.rate_limit)
         if answer.leaving:
             self.on_target_leaving(target.target_id)
 
+    def _adopt_rate_limit(self, call: MeshCall) -> None:
+        """Follow the limit that a peer knows until the target has answered."""
+        target = self._target
+        if target is not None and call.target_id == target.target_id:
+            self._set_rate_limit(call.rate_limit)
+
     def _set_rate_limit(self, per_s: float | None) -> None:
+        if per_s == self._rate_limit:
+            return
         self._rate_limit = per_s
         self.admission.rate.set(self._loop.time(), per_s)
         target_id = self._target.target_id if self._target is not None else ""
--- a/dogwooddock/peers/linkcodec.py
+++ b/dogwooddock/peers/linkcodec.py
@@ -198,6 +198,7 @@
         frame.config_version,
         call.rank,
         call.repeat,
+        int(call.rate_limit * 1000),
     )
 
 
@@ -218,6 +219,7 @@
         wire.fingerprint,
         wire.rank,
         wire.repeat,
+        (wire.rate_limit_per_1000_s or 0) / 1000,
     )
     return CallFrame(wire.call_id, call, wire.config_version)
 
@@ -241,6 +243,7 @@
             int(load.wait_s * 1000),
             load.accepting,
             int(load.service_s * 1000),
+            int(load.rate_limit * 1000),
         ),
         frame.config_version,
         reply.below_level,
@@ -264,6 +267,7 @@
             load.wait_ms / 1000,
             load.accepting,
             (load.service_ms or 0) / 1000,
+            (load.rate_limit_per_1000_s or 0) / 1000,
         ),
         wire.below_level,
     )
--- a/dogwooddock/peers/peer.thrift
+++ b/dogwooddock/peers/peer.thrift
@@ -158,6 +158,7 @@
   16: i64 config_version
   17: i32 rank
   18: bool repeat
+  19: i32 rate_limit_per_1000_s
 }
 
 struct LinkLoad {
@@ -168,6 +169,7 @@
   5: i32 wait_ms
   6: bool accepting
   7: i32 service_ms
+  8: i32 rate_limit_per_1000_s
 }
 
 struct LinkReply {
--- a/dogwooddock/peers/wire/ttypes.py
+++ b/dogwooddock/peers/wire/ttypes.py
@@ -1750,6 +1750,7 @@
      - config_version
      - rank
      - repeat
+     - rate_limit_per_1000_s
 
     """
 
@@ -1771,10 +1772,11 @@
         'config_version',
         'rank',
         'repeat',
+        'rate_limit_per_1000_s',
     )
 
 
-    def __init__(self, call_id=None, request_id=None, route=None, target_id=None, method=None, path=None, headers=None, body=None, remaining_ms=None, idempotent=None, importance=None, depth=None, caller=None, fingerprint=None, config_version=None, rank=None, repeat=None,):
+    def __init__(self, call_id=None, request_id=None, route=None, target_id=None, method=None, path=None, headers=None, body=None, remaining_ms=None, idempotent=None, importance=None, depth=None, caller=None, fingerprint=None, config_version=None, rank=None, repeat=None, rate_limit_per_1000_s=None,):
         self.call_id = call_id
         self.request_id = request_id
         self.route = route
@@ -1792,6 +1794,7 @@
         self.config_version = config_version
         self.rank = rank
         self.repeat = repeat
+        self.rate_limit_per_1000_s = rate_limit_per_1000_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1887,6 +1890,11 @@
                     self.repeat = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.I32:
+                    self.rate_limit_per_1000_s = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1965,6 +1973,10 @@
             oprot.writeFieldBegin('repeat', TType.BOOL, 18)
             oprot.writeBool(self.repeat)
             oprot.writeFieldEnd()
+        if self.rate_limit_per_1000_s is not None:
+            oprot.writeFieldBegin('rate_limit_per_1000_s', TType.I32, 19)
+            oprot.writeI32(self.rate_limit_per_1000_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2000,6 +2012,7 @@
      - wait_ms
      - accepting
      - service_ms
+     - rate_limit_per_1000_s
 
     """
 
@@ -2011,10 +2024,11 @@
         'wait_ms',
         'accepting',
         'service_ms',
+        'rate_limit_per_1000_s',
     )
 
 
-    def __init__(self, limit=None, in_flight=None, queued=None, level=None, wait_ms=None, accepting=None, service_ms=None,):
+    def __init__(self, limit=None, in_flight=None, queued=None, level=None, wait_ms=None, accepting=None, service_ms=None, rate_limit_per_1000_s=None,):
         self.limit = limit
         self.in_flight = in_flight
         self.queued = queued
@@ -2022,6 +2036,7 @@
         self.wait_ms = wait_ms
         self.accepting = accepting
         self.service_ms = service_ms
+        self.rate_limit_per_1000_s = rate_limit_per_1000_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2067,6 +2082,11 @@
                     self.service_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.rate_limit_per_1000_s = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2105,6 +2125,10 @@
             oprot.writeFieldBegin('service_ms', TType.I32, 7)
             oprot.writeI32(self.service_ms)
             oprot.writeFieldEnd()
+        if self.rate_limit_per_1000_s is not None:
+            oprot.writeFieldBegin('rate_limit_per_1000_s', TType.I32, 8)
+            oprot.writeI32(self.rate_limit_per_1000_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2949,6 +2973,7 @@
     (16, TType.I64, 'config_version', None, None, ),  # 16
     (17, TType.I32, 'rank', None, None, ),  # 17
     (18, TType.BOOL, 'repeat', None, None, ),  # 18
+    (19, TType.I32, 'rate_limit_per_1000_s', None, None, ),  # 19
 )
 all_structs.append(LinkLoad)
 LinkLoad.thrift_spec = (
@@ -2960,6 +2985,7 @@
     (5, TType.I32, 'wait_ms', None, None, ),  # 5
     (6, TType.BOOL, 'accepting', None, None, ),  # 6
     (7, TType.I32, 'service_ms', None, None, ),  # 7
+    (8, TType.I32, 'rate_limit_per_1000_s', None, None, ),  # 8
 )
 all_structs.append(LinkReply)
 LinkReply.thrift_spec = (
--- a/tests/test_mesh_target_limits.py
+++ b/tests/test_mesh_target_limits.py
@@ -97,8 +97,8 @@
 
 
 @asynccontextmanager
-async def loaded_fleet(per_s=60.0):
-    async with running_fleet(*POOLS) as fleet:
+async def loaded_fleet(per_s=60.0, pools=POOLS):
+    async with running_fleet(*pools) as fleet:
         for vm in fleet.vms:
             vm.target.mode.work_s = 0.03
         yield fleet, Load(fleet, per_s)
@@ -165,10 +165,10 @@
 
 def test_limit_holds_through_a_restart_of_the_gate_under_load():
     async def scenario():
-        async with loaded_fleet(per_s=150.0) as (fleet, load):
+        async with loaded_fleet(150.0, ("shop", "stock", "stock")) as (fleet, load):
             for vm in fleet.vms:
-                vm.target.mode.work_s = 0.5
-                vm.target.slots = 40
+                vm.target.mode.work_s = 0.8
+                vm.target.slots = 80
                 await vm.target.send_heartbeat()
             name_limit(fleet, "4")
             await load.play(2.0)
