Do not take a slow store for a lost one, and bound the rate that a link carries

Lead readers gave each call 0.2 of the bound, also after an outage, so that a store that answers later never answered them and was called lost. A limit of 10 digits does not fit the field of the link. Seven digits and more are read as no limit.

--- a/dogwooddock/mesh/follower.py
+++ b/dogwooddock/mesh/follower.py
@@ -107,7 +107,8 @@
     async def _wait_or_restart(self) -> None:
         """Make one call; return without a result if ``restart`` is called meanwhile."""
         self._poll_restarted = False
-        poll = asyncio.get_running_loop().create_task(self._step(self._timing.wait_s))
+        step = self._step(self._timing.wait_s, self._timing.answer_s)
+        poll = asyncio.get_running_loop().create_task(step)
         self._poll = poll
         try:
             await poll
@@ -117,12 +118,17 @@
         finally:
             self._poll = None
 
-    async def _step(self, wait_s: float) -> None:
-        """Read the table if its position is not known, or else the changes since."""
+    async def _step(self, wait_s: float, answer_s: float) -> None:
+        """Read the table if its position is not known, or else the changes since.
+
+        Args:
+            wait_s: Longest wait of the store for a change, in seconds.
+            answer_s: Time beyond it until the call has failed, in seconds.
+        """
         if self._position is None or self._era != self._store.era:
             await self._read_table()
         else:
-            await self._read_changes(self._position, wait_s)
+            await self._read_changes(self._position, wait_s, answer_s)
 
     async def _read_table(self) -> None:
         parts = self._parts
@@ -145,9 +151,11 @@
                 "the store has come back from an older copy; read the table again"
             )
 
-    async def _read_changes(self, position: int, wait_s: float) -> None:
+    async def _read_changes(
+        self, position: int, wait_s: float, answer_s: float
+    ) -> None:
         try:
-            async with asyncio.timeout(wait_s + self._timing.answer_s):
+            async with asyncio.timeout(wait_s + answer_s):
                 page = await self._store.changes(self._table, position, wait_s)
         except TimeoutError as exc:
             raise StoreUncertain("the store did not respond in time") from exc
@@ -179,7 +187,7 @@
         self._on_unanswered()
         try:
             while not await self._is_answered(calls, interval_s, called_at):
-                if loop.time() - began_at >= self._timing.answer_s:
+                if loop.time() - began_at >= REGULAR_TIMING.answer_s:
                     self._note_lost(exc, called_at)
                 interval_s = min(self._timing.retry_s, interval_s * 2)
         finally:
@@ -193,7 +201,7 @@
         """Add a call to those in progress; report whether one is answered in time."""
         loop = asyncio.get_running_loop()
         until = loop.time() + interval_s * (0.5 + self._rng.random())
-        calls.add(loop.create_task(self._step(0.0)))
+        calls.add(loop.create_task(self._step(0.0, REGULAR_TIMING.answer_s)))
         while calls and loop.time() < until:
             done, _ = await asyncio.wait(
                 calls,
--- a/dogwooddock/platform/headers.py
+++ b/dogwooddock/platform/headers.py
@@ -28,7 +28,8 @@
 
 _SET_BY_NODES = frozenset({DEADLINE_MS, EXPECT_INSTANCE, CALLER_SERVICE})
 _NO_HEADERS: frozenset[bytes] = frozenset()
-_DECIMAL = re.compile(rb"\d{1,12}(\.\d{0,12})?")
+# A limit of a million or more is none.
+_RATE = re.compile(rb"\d{1,6}(\.\d{0,12})?")
 
 
 class PlatformHeaders(HeaderFormat):
@@ -112,5 +113,5 @@
 
 
 def _read_rate(text: bytes) -> float | None:
-    """Parse a decimal number; None if the text is anything else."""
-    return float(text) if _DECIMAL.fullmatch(text) else None
+    """Parse a decimal number; None if the text is anything else or too large."""
+    return float(text) if _RATE.fullmatch(text) else None
--- a/tests/test_mesh_silent_store.py
+++ b/tests/test_mesh_silent_store.py
@@ -132,3 +132,22 @@
             await assert_in_force(remaining, 2)
 
     run(scenario())
+
+
+@pytest.mark.parametrize("delay_s", [0.5, 0.9])
+def test_slow_store_is_not_taken_for_a_lost_one(delay_s):
+    async def scenario():
+        async with running_fleet(*POOLS) as fleet:
+            await wait_for_readers(fleet)
+            fleet.store.faults.delay_s = delay_s
+            was_lost = False
+            for version in range(2, 5):
+                await put_config(fleet, version)
+                for _ in range(20):
+                    await asyncio.sleep(0.1)
+                    lost = [vm.node.store_reader.store_lost for vm in fleet.vms]
+                    was_lost = was_lost or any(lost)
+                await assert_in_force(fleet.vms, version)
+            assert not was_lost
+
+    run(scenario())
--- a/tests/test_mesh_target_limits.py
+++ b/tests/test_mesh_target_limits.py
@@ -114,6 +114,7 @@
         (["4", "12"], False),
         (["16", "4"], True),
         (["8", "", "8"], False),
+        (["99999999999", "8"], False),
     ],
 )
 def test_target_gets_no_more_than_the_limit_that_it_names(limits, restart):
