--- a/dogwooddock/mesh/storereader.py
+++ b/dogwooddock/mesh/storereader.py
@@ -39,7 +39,7 @@
     as a whole does not read the tables once per node.
 
     The lead readers of the fleet call for the configuration often, since the store may
-    forget the calls of all readers without a sign.
+    drop the waiting calls of all readers and leave their connections open.
 
     Args:
         store: The platform's store.
@@ -99,7 +99,7 @@
         return [*(follower.run for follower in self._followers), self._run_role_updates]
 
     def restart(self) -> None:
-        """Call the store again, since it may have forgotten the calls that wait."""
+        """Call the store again, since it may have dropped the calls that wait."""
         for follower in self._followers:
             follower.restart()
 
--- a/dogwooddock/policy/polling.py
+++ b/dogwooddock/policy/polling.py
@@ -33,7 +33,7 @@
 def lead_timing(bound_s: float) -> PollTiming:
     """Return the timing of a lead reader.
 
-    The store may forget a call that waits, without a sign on its connection. A change
+    The store may drop a call that waits and leave its connection open. A change
     that follows is noticed after ``wait_s`` and ``answer_s`` at the latest.
 
     Args:
--- a/dogwooddock/policy/readers.py
+++ b/dogwooddock/policy/readers.py
@@ -53,7 +53,7 @@
 def is_lead_reader(own: Address, store_lost: bool, peers: Iterable[LinkedPeer]) -> bool:
     """Report whether a store reader is a lead reader, which calls the store often.
 
-    Lead readers notice soon that the store has forgotten the calls of all readers. They
+    Lead readers notice soon that the store has dropped the calls of all readers. They
     are the first ``LEAD_READERS`` nodes of the fleet, by address, that reach the store.
     The first ones of all keep the role while they cannot reach it, so that its return
     is noticed as soon, without frequent calls of the whole fleet.
