--- a/review/2/play.py
+++ b/review/2/play.py
@@ -107,4 +107,4 @@
 
 
 if __name__ == "__main__":
-    main(Path(__file__).resolve().parent, play)
+    main(Path(__file__).resolve().with_name("record.txt"), play)
--- a/review/standins.py
+++ b/review/standins.py
@@ -773,19 +773,19 @@
 
 
 def main(
-    folder: Path,
+    record_path: Path,
     play: Callable[[Record, bool], Awaitable[bool]],
     limit_s: float = 110.0,
 ) -> None:
     """Play a case and exit with 0 if the rule held, 1 if it was broken, 2 otherwise.
 
     Args:
-        folder: Folder of the case.
+        record_path: File in which to note what was sent, answered and run.
         play: Plays the case, with the disruption if its second argument is true;
             returns whether the rule held.
         limit_s: Longest time, in seconds.
     """
-    record = Record(folder / "record.txt")
+    record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.note(f"disruption: {'yes' if trouble else 'no'}")
 
