--- a/bench/mesh_standin.py
+++ b/bench/mesh_standin.py
@@ -209,7 +209,7 @@
         call_gap_s: Delay before each of these calls, in seconds.
         late_s: Delay of the second answer of late-refusal, in seconds.
         reset_after_idle_s: Idle time after which the next request on a connection
-            makes the target reset it, in seconds.
+            makes the target reset it, in seconds; if negative, every request does.
         crash_on: Part of the path of requests that crash the target; empty for none.
         crash_silently: Whether a crashed target leaves connections open and
             unanswered instead of resetting them.
@@ -267,6 +267,7 @@
         runs: Requests that it ran, in order of arrival.
         arrived_at: Times at which requests were received, health checks aside, in
             seconds.
+        arrivals: Identifiers of these requests, also of those that did not run.
         aborted_runs: Runs whose connection was closed before the answer.
         crashed: Whether the target has crashed and was not restarted.
         state: State that heartbeats report.
@@ -282,6 +283,7 @@
     born_ms: int = field(default_factory=lambda: int(time.time() * 1000))
     runs: list[Run] = field(default_factory=list)
     arrived_at: list[float] = field(default_factory=list)
+    arrivals: list[str] = field(default_factory=list)
     aborted_runs: int = 0
     crashed: bool = False
     state: str = "ready"
@@ -390,12 +392,13 @@
             exchange.respond(200 if healthy else 503, block, b"")
             return
         self.arrived_at.append(time.monotonic())
+        fields = request.fields
+        request_id = fields[b"dogwooddock-request-id"].decode()
+        self.arrivals.append(request_id)
         idle_since = self._answered_at.get(exchange.conn_id, time.monotonic())
         if time.monotonic() - idle_since > self.mode.reset_after_idle_s:
             exchange.write_raw(b"", reset=True)
             return
-        fields = request.fields
-        request_id = fields[b"dogwooddock-request-id"].decode()
         if fields.get(b"dogwooddock-expect-instance", b"").decode() != self.target_id:
             exchange.respond(421, self._header_block(request_id), b"")
         elif self.mode.shed:
--- a/dogwooddock/mesh/targetruns.py
+++ b/dogwooddock/mesh/targetruns.py
@@ -190,6 +190,13 @@
         )
         if likely_idle_close and call.idempotent and not gate_call.resent:
             gate_call.resent = True
+            log.info(
+                "target_call_repeated",
+                request=gate_call.queued.attempt_id,
+                route=call.route,
+                target=call.target_id,
+                charged="nobody",
+            )
             self._served.rate.take(self._loop.time())
             gate_call.stage = Stage.CONNECTING
             self._loop.create_task(self._connect(gate_call, pool))
