Leave every repeat of a request to the ingress, which charges it

Cause: when a target closed a connection that had been used before, the gate sent an idempotent call once more on a new one, and asked no budget. The call was not marked as a repeat either, so the calls of its second run were charged to nobody. Each answer in between makes a connection used again, so the number of such repeats grew with the load.

Change: a gate sends a call once. The ingress decides about the repeat, from its budget, and may choose the same target if no other is left (the reply says idle_close; an optional field, which older nodes pass over). After such a reset a gate reuses only connections that were idle for less than 0.2 s for 10 s, so that a target which drops idle connections costs one retry and not one for each connection. The reset is no sample of the target's service time.

--- a/dogwooddock/mesh/calls.py
+++ b/dogwooddock/mesh/calls.py
@@ -106,6 +106,8 @@
             attempt, in hundredths of an importance class.
         chain_level: Rank below which runs of the route, or of a downstream route, are
             not started, because their calls would find no room.
+        idle_close: Whether the target closed a kept connection when the request
+            arrived, so that the same target may be tried again.
     """
 
     outcome: Outcome
@@ -117,6 +119,7 @@
     load: GateLoad = field(default_factory=GateLoad)
     below_level: int = 0
     chain_level: int = 0
+    idle_close: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/dogwooddock/mesh/gatecalls.py
+++ b/dogwooddock/mesh/gatecalls.py
@@ -36,13 +36,13 @@
         queued: Entry of the call in the admission queue.
         stage: Stage of the call.
         conn: Connection that the call runs on, or None.
-        sent_at: Loop time when it was last sent to the target, in seconds; 0 if never.
+        sent_at: Loop time when it was sent to the target, in seconds; 0 if never, or if
+            the target had closed the connection.
         timer: Timer that ends the call after its deadline.
-        resent: Whether it was sent again after a reused connection was reset.
         downstream_failed: Whether a downstream call of this run failed.
         below_level: Highest admission level reported for its downstream calls, in
             hundredths of an importance class.
-        target_lifetime: Target that it was last sent to; None if it was never sent.
+        target_lifetime: Target that it was sent to; None if it was never sent.
     """
 
     call: MeshCall
@@ -52,7 +52,6 @@
     conn: ClientConnection | None = None
     sent_at: float = 0.0
     timer: asyncio.TimerHandle | None = None
-    resent: bool = False
     downstream_failed: bool = False
     below_level: int = 0
     target_lifetime: TargetLifetime | None = None
@@ -62,14 +61,9 @@
         """Report whether ``done`` was called or the call was cancelled."""
         return self.stage is Stage.FINISHED
 
-    @property
-    def refused_outcome(self) -> Outcome:
-        """Return not-run, or unknown if the target may have run the call before."""
-        return Outcome.UNKNOWN if self.resent else Outcome.NOT_RUN
-
     def refusal(self, reason: Reason) -> MeshReply:
-        """Return the reply to a call that is not sent, or not sent again."""
-        return MeshReply(self.refused_outcome, reason, reached=self.resent)
+        """Return the reply to a call that is not sent."""
+        return MeshReply(Outcome.NOT_RUN, reason)
 
 
 @dataclass(frozen=True, slots=True)
--- a/dogwooddock/mesh/ingress.py
+++ b/dogwooddock/mesh/ingress.py
@@ -304,6 +304,8 @@
             pending.record_turned_away()
         elif reply.reached:
             pending.reached += 1
+            if reply.idle_close:
+                pending.allow_same_target()
         if reply.outcome is Outcome.NOT_RUN:
             pending.unconfirmed -= 1
         elif reply.outcome is Outcome.ANSWERED:
--- a/dogwooddock/mesh/pending.py
+++ b/dogwooddock/mesh/pending.py
@@ -46,8 +46,8 @@
             retry budget.
         overload_resends: Resends after refusals for load or deadline.
         turned_away: Attempts that reached a target and were turned away, not run.
-        turned_away_by: Ids of the nodes whose targets did so since the last choice
-            among all targets.
+        may_try_again: Ids of the nodes whose targets turned it away, or closed a
+            kept connection, since the last choice among all targets.
         unconfirmed: Attempts that no gate has reported as not run.
         fallback: Last answer of a target, delivered if no later attempt gets one.
         last_reply: Reply to the last attempt.
@@ -71,7 +71,7 @@
     free_resends: int = 0
     overload_resends: int = 0
     turned_away: int = 0
-    turned_away_by: set[int] = field(default_factory=set)
+    may_try_again: set[int] = field(default_factory=set)
     unconfirmed: int = 0
     fallback: MeshReply | None = None
     last_reply: MeshReply = field(
@@ -90,8 +90,12 @@
     def record_turned_away(self) -> None:
         """Record that the target of the last attempt turned it away, not run."""
         self.turned_away += 1
+        self.allow_same_target()
+
+    def allow_same_target(self) -> None:
+        """Let the target of the last attempt be tried again once no other is left."""
         if self.last_node is not None:
-            self.turned_away_by.add(self.last_node)
+            self.may_try_again.add(self.last_node)
 
 
 def chain_rank(
--- a/dogwooddock/mesh/resends.py
+++ b/dogwooddock/mesh/resends.py
@@ -64,13 +64,13 @@
         self._window.record_retry(pending.pool, now)
 
     def choose(self, pending: PendingRequest, now: float) -> Candidate | None:
-        """Return a target that was not tried, or one that turned the call away."""
+        """Return a target that was not tried, or else one that may be tried again."""
         left_s = pending.objective_at - now
         route = pending.call.route
         candidate = self._fleet.choose(pending.pool, pending.tried, route, left_s)
-        if candidate is None and pending.turned_away_by:
-            pending.tried -= pending.turned_away_by
-            pending.turned_away_by.clear()
+        if candidate is None and pending.may_try_again:
+            pending.tried -= pending.may_try_again
+            pending.may_try_again.clear()
             candidate = self._fleet.choose(pending.pool, pending.tried, route, left_s)
         return candidate
 
--- a/dogwooddock/mesh/targetconnections.py
+++ b/dogwooddock/mesh/targetconnections.py
@@ -11,6 +11,9 @@
 
 MAX_IDLE_IDEMPOTENT_S = 4.0
 MAX_IDLE_NON_IDEMPOTENT_S = 0.2
+# After the target closed an idle connection under a request, the time for which all
+# requests reuse only connections that were idle for a short time.
+IDLE_CLOSE_MEMORY_S = 10.0
 BACKOFF_FIRST_S = 0.1
 BACKOFF_MAX_S = 1.0
 # Of all answers that are being received; a whole answer is copied a few times.
@@ -23,8 +26,9 @@
     """Reuse connections to the target and track whether it can be reached.
 
     A target may drop an idle connection and reset it when the next request arrives.
-    An idempotent request is then sent again. Any other request would have an unknown
-    outcome, so it reuses only connections that were idle for a short time.
+    The outcome of that request is then unknown: a non-idempotent one therefore reuses
+    only connections that were idle for a short time, and so do all others for a while
+    after such a reset, since each costs a retry.
     """
 
     def __init__(self) -> None:
@@ -34,6 +38,7 @@
         self._memory = ResponseMemory(MAX_RESPONSE_BYTES)
         self._down_until = 0.0
         self._backoff_s = BACKOFF_FIRST_S
+        self._idle_closed_at = float("-inf")
         self.opened = 0
 
     @property
@@ -55,10 +60,20 @@
 
     def acquire_idle(self, idempotent: bool) -> ClientConnection | None:
         """Return an idle connection that is recent enough for a call, or None."""
+        long_idle = idempotent and not self._closes_idle
         return self.pool.acquire_idle(
-            MAX_IDLE_IDEMPOTENT_S if idempotent else MAX_IDLE_NON_IDEMPOTENT_S
+            MAX_IDLE_IDEMPOTENT_S if long_idle else MAX_IDLE_NON_IDEMPOTENT_S
         )
 
+    @property
+    def _closes_idle(self) -> bool:
+        """Report whether the target closed an idle connection a short time ago."""
+        return self._loop.time() - self._idle_closed_at < IDLE_CLOSE_MEMORY_S
+
+    def record_idle_close(self) -> None:
+        """Record that the target closed a reused connection under a request."""
+        self._idle_closed_at = self._loop.time()
+
     async def open(self, pool: ConnectionPool) -> ClientConnection:
         """Open a connection; a failure starts a backoff that doubles up to a maximum.
 
--- a/dogwooddock/mesh/targetruns.py
+++ b/dogwooddock/mesh/targetruns.py
@@ -19,6 +19,8 @@
 
 # Time after the deadline of a call in which the target's answer is still awaited.
 ANSWER_GRACE_S = 0.08
+# A target that has closed an idle connection resets it as soon as a request arrives.
+IDLE_CLOSE_S = 0.05
 
 log = structlog.get_logger()
 
@@ -77,9 +79,7 @@
             conn = await self._connections.open(pool)
         except OSError:
             self._refuse_waiting(Reason.TARGET_UNREACHABLE)
-            lost = gate_call.resent
-            reason = Reason.TARGET_LOST if lost else Reason.TARGET_UNREACHABLE
-            self._refuse(gate_call, reason)
+            self._refuse(gate_call, Reason.TARGET_UNREACHABLE)
             return
         if gate_call.finished or self._target_replaced(gate_call):
             pool.release(conn)
@@ -160,13 +160,13 @@
         """Return the reply to a call, and record what its answer tells."""
         reply = MeshReply(Outcome.ANSWERED, status=answer.status, reached=True)
         if answer.wrong_target:
-            reply.outcome = gate_call.refused_outcome
+            reply.outcome = Outcome.NOT_RUN
             reply.reason = Reason.WRONG_TARGET
             if gate_call.target_lifetime == self._losses.lifetime:
                 self._losses.target_ended()
                 self._served.withdraw()
         elif answer.not_run:
-            reply.outcome = gate_call.refused_outcome
+            reply.outcome = Outcome.NOT_RUN
             reply.reason = Reason.TARGET_SHED
         elif not answer.stamped or answer.status in RETRY_INVITING_STATUSES:
             reply.outcome, reply.reason = Outcome.UNKNOWN, Reason.TARGET_FAILED
@@ -185,22 +185,9 @@
         call = gate_call.call
         if failure.closed_by_peer and self._served.current is not None:
             self._losses.record_cut_off(gate_call)
-        likely_idle_close = (
-            failure.reused and failure.closed_by_peer and not failure.response_started
-        )
-        if likely_idle_close and call.idempotent and not gate_call.resent:
-            gate_call.resent = True
-            log.info(
-                "target_call_repeated",
-                request=gate_call.queued.attempt_id,
-                route=call.route,
-                target=call.target_id,
-                charged="nobody",
-            )
-            self._served.rate.take(self._loop.time())
-            gate_call.stage = Stage.CONNECTING
-            self._loop.create_task(self._connect(gate_call, pool))
-            return
+        idle_close = self._is_idle_close(gate_call, failure)
+        if idle_close:
+            self._connections.record_idle_close()
         log.info(
             "target_lost_call",
             request=gate_call.queued.attempt_id,
@@ -210,22 +197,31 @@
             cause=failure.cause,
             reused=failure.reused,
             began=failure.response_started,
+            idle_close=idle_close,
         )
-        if not failure.closed_by_peer:
-            self._finish_failed(gate_call, Reason.TARGET_FAILED)
-        elif self._served.current is None:
-            self._finish_failed(gate_call, Reason.TARGET_LOST)
+        reason = Reason.TARGET_LOST if failure.closed_by_peer else Reason.TARGET_FAILED
+        reply = MeshReply(Outcome.UNKNOWN, reason, reached=True, idle_close=idle_close)
+        if not failure.closed_by_peer or self._served.current is None:
+            self._finish_failed(gate_call, reply)
         else:
-            self._loop.create_task(self._finish_lost(gate_call))
+            self._loop.create_task(self._finish_lost(gate_call, reply))
+
+    def _is_idle_close(self, gate_call: GateCall, failure: RequestFailure) -> bool:
+        """Report whether the target had closed the connection before the call."""
+        if not failure.reused or not failure.closed_by_peer or failure.response_started:
+            return False
+        return self._loop.time() - gate_call.sent_at < IDLE_CLOSE_S
 
-    async def _finish_lost(self, gate_call: GateCall) -> None:
+    async def _finish_lost(self, gate_call: GateCall, reply: MeshReply) -> None:
         """Reply after a check of the target, so that marks arrive before the reply."""
         await self._losses.check()
-        self._finish_failed(gate_call, Reason.TARGET_LOST)
+        self._finish_failed(gate_call, reply)
 
-    def _finish_failed(self, gate_call: GateCall, reason: Reason) -> None:
+    def _finish_failed(self, gate_call: GateCall, reply: MeshReply) -> None:
+        if reply.idle_close:
+            gate_call.sent_at = 0.0  # No sample of the target's service time.
         self._release(gate_call, True)
-        self._finish(gate_call, MeshReply(Outcome.UNKNOWN, reason, reached=True))
+        self._finish(gate_call, reply)
 
     def _time_out(self, gate_call: GateCall) -> None:
         if gate_call.finished:
--- a/dogwooddock/peers/linkcodec.py
+++ b/dogwooddock/peers/linkcodec.py
@@ -303,6 +303,7 @@
         frame.config_version,
         reply.below_level,
         reply.chain_level or None,
+        reply.idle_close or None,
     )
 
 
@@ -327,6 +328,7 @@
         ),
         wire.below_level,
         wire.chain_level or 0,
+        bool(wire.idle_close),
     )
     return ReplyFrame(wire.call_id, reply, wire.config_version)
 
--- a/dogwooddock/peers/peer.thrift
+++ b/dogwooddock/peers/peer.thrift
@@ -187,6 +187,7 @@
   9: i64 config_version
   10: i32 below_level
   11: i32 chain_level
+  12: optional bool idle_close
 }
 
 struct LinkCancel {
--- a/dogwooddock/peers/wire/ttypes.py
+++ b/dogwooddock/peers/wire/ttypes.py
@@ -2192,6 +2192,7 @@
      - config_version
      - below_level
      - chain_level
+     - idle_close
 
     """
 
@@ -2207,10 +2208,11 @@
         'config_version',
         'below_level',
         'chain_level',
+        'idle_close',
     )
 
 
-    def __init__(self, call_id=None, outcome=None, reason=None, status=None, headers=None, body=None, reached=None, load=None, config_version=None, below_level=None, chain_level=None,):
+    def __init__(self, call_id=None, outcome=None, reason=None, status=None, headers=None, body=None, reached=None, load=None, config_version=None, below_level=None, chain_level=None, idle_close=None,):
         self.call_id = call_id
         self.outcome = outcome
         self.reason = reason
@@ -2222,6 +2224,7 @@
         self.config_version = config_version
         self.below_level = below_level
         self.chain_level = chain_level
+        self.idle_close = idle_close
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2288,6 +2291,11 @@
                     self.chain_level = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.idle_close = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2342,6 +2350,10 @@
             oprot.writeFieldBegin('chain_level', TType.I32, 11)
             oprot.writeI32(self.chain_level)
             oprot.writeFieldEnd()
+        if self.idle_close is not None:
+            oprot.writeFieldBegin('idle_close', TType.BOOL, 12)
+            oprot.writeBool(self.idle_close)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3367,6 +3379,7 @@
     (9, TType.I64, 'config_version', None, None, ),  # 9
     (10, TType.I32, 'below_level', None, None, ),  # 10
     (11, TType.I32, 'chain_level', None, None, ),  # 11
+    (12, TType.BOOL, 'idle_close', None, None, ),  # 12
 )
 all_structs.append(LinkCancel)
 LinkCancel.thrift_spec = (
--- a/tests/test_repeat_budget.py
+++ b/tests/test_repeat_budget.py
@@ -49,3 +49,20 @@
             assert _repeats(fleet, "shop") <= RATIO * 2 * count + EXTRA
 
     run(scenario())
+
+
+def test_one_reset_of_an_idle_connection_spares_the_requests_after_it():
+    count = 6
+
+    async def scenario():
+        async with running_fleet("shop", "stock") as fleet:
+            target = fleet.vms[0].target
+            target.mode = TargetMode(work_s=WORK_S, reset_after_idle_s=0.3)
+            await _send_all(fleet, "kept", count)
+            await asyncio.sleep(0.35)
+            for index in range(count):
+                answer = await fleet.vms[1].send_request("/read/1", f"later-{index}")
+                assert answer.status == 200
+            assert _repeats(fleet, "shop") == 1
+
+    run(scenario())
