Put a node's part of the fleet's retries into a class of the policy

The node kept the share of the extra retries, the ingress the order in which bucket and window are charged; neither could be tested without a network. RetryAllowance holds both.

--- a/dogwooddock/mesh/ingress.py
+++ b/dogwooddock/mesh/ingress.py
@@ -16,8 +16,7 @@
 from ..policy.accountshares import AccountRanks
 from ..policy.outcomes import Outcome, Reason
 from ..policy.quarantine import Quarantine, QuarantineStatus, fingerprint
-from ..policy.retries import RetryBudget
-from ..policy.retrywindow import RetryWindow
+from ..policy.retryallowance import RetryAllowance
 from .admissionlevels import AdmissionLevels
 from .authentication import Authentication
 from .calls import MeshCall, MeshReply
@@ -74,8 +73,7 @@
         config: Active configuration.
         fleet: Gates that calls can be sent to.
         gate: Gate of the local target.
-        budget: Retry budget of this node.
-        window: Retries of turned-away calls beyond that budget.
+        retries: Retries that this node may make.
         quarantine: Requests that made targets crash.
         quotas: Quotas of client accounts.
         rng: Random source of the jitter of Retry-After delays.
@@ -90,8 +88,7 @@
         config: ConfigHolder,
         fleet: Fleet,
         gate: Gate,
-        budget: RetryBudget,
-        window: RetryWindow,
+        retries: RetryAllowance,
         quarantine: Quarantine,
         quotas: Quotas,
         rng: Random,
@@ -113,7 +110,7 @@
         )
         self._keys = Authentication(self._errors, proofs)
         self._levels = AdmissionLevels(fleet.levels, fleet.pool_levels, gate.chains)
-        self._resends = Resends(fleet, budget, window, self.counts, gate.chains)
+        self._resends = Resends(fleet, retries, self.counts, gate.chains)
 
     # Arrival.
 
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -30,9 +30,8 @@
 from ..policy.chains import ChainAdmission
 from ..policy.lifetimes import Heartbeat
 from ..policy.quarantine import Mark
-from ..policy.retries import RetryBudget
+from ..policy.retryallowance import RetryAllowance
 from ..policy.retryroom import RetryRoom
-from ..policy.retrywindow import RetryWindow
 from ..policy.turnedaway import TurnedAwayShares
 from .announcer import Announcer
 from .calls import NodeRecord, StateUpdate
@@ -56,8 +55,6 @@
 from .wireformat import HeaderFormat
 from .zonerows import ZoneRows
 
-RETRY_BUDGET_FRACTION = 0.8
-MAX_RETRY_TOKENS = 4.0
 DRAIN_LISTEN_MARGIN_S = 0.1
 GATE_STOP_LEAD_S = 0.7
 NON_READER_FANOUT = 3
@@ -119,11 +116,9 @@
             rng, self._publish_marks, lambda: self.gate.recheck_held()
         )
         self.config = ConfigHolder(platform.decode_config, self._on_config)
-        self.budget = RetryBudget(
-            env.bounds.retry_ratio * RETRY_BUDGET_FRACTION, MAX_RETRY_TOKENS
-        )
-        window = RetryWindow(env.bounds.retry_ratio * RETRY_BUDGET_FRACTION)
-        room = RetryRoom(TurnedAwayShares(), window)
+        bounds = env.bounds
+        self.retries = RetryAllowance(bounds.retry_ratio, bounds.retry_extra)
+        room = RetryRoom(TurnedAwayShares(), self.retries.window)
         chains = ChainAdmission(room, env.chain_levels)
         self.gate = Gate(platform.wire, self.marks, self.node_id, chains)
         self.fleet = Fleet(
@@ -140,8 +135,7 @@
             self.config,
             self.fleet,
             self.gate,
-            self.budget,
-            window,
+            self.retries,
             self.marks.quarantine,
             self.quotas,
             rng,
@@ -295,7 +289,7 @@
             await asyncio.sleep(MAINTENANCE_PERIOD_S)
             self.gate.connections.close_stale()
             self.marks.quarantine.expire(self._loop.time())
-            self._update_retry_limit()
+            self.retries.resize(len(self.fleet.members))
             self.fleet.dial_zone()
             if self._platform.settings_changed():
                 self.reload()
@@ -309,12 +303,6 @@
             await asyncio.sleep(SYNC_PERIOD_S * self._rng.uniform(0.8, 1.2))
             self.fleet.probe_random_link(self._rng)
 
-    def _update_retry_limit(self) -> None:
-        """Set the retry token limit to this node's share of the fleet's allowance."""
-        nodes = max(1, len(self.fleet.members))
-        share = self.env.bounds.retry_extra * RETRY_BUDGET_FRACTION / nodes
-        self.budget.max_tokens = min(MAX_RETRY_TOKENS, max(1.0, share))
-
     @property
     def store(self) -> RowStore:
         """Return the platform's store."""
--- a/dogwooddock/mesh/resends.py
+++ b/dogwooddock/mesh/resends.py
@@ -11,8 +11,7 @@
 from ..policy.levels import LEVEL_SCALE
 from ..policy.outcomes import Reason
 from ..policy.resends import Resend, classify_resend
-from ..policy.retries import RetryBudget
-from ..policy.retrywindow import RetryWindow, spend_retry
+from ..policy.retryallowance import RetryAllowance
 from .calls import MeshReply
 from .fleet import Fleet
 from .pending import CALLER_CLASSES, PendingRequest
@@ -28,12 +27,11 @@
 
 
 class Resends:
-    """Decide about further attempts of a request, within the node's retry budget.
+    """Decide about further attempts of a request, within the node's allowance.
 
     Args:
         fleet: Gates that calls can be sent to.
-        budget: Retry budget of this node.
-        window: Retries of turned-away calls beyond that budget.
+        retries: Retries that this node may make.
         counts: Counts of the requests of this ingress.
         chains: Decides which part of the retries the calls of a chain may use.
     """
@@ -41,27 +39,23 @@
     def __init__(
         self,
         fleet: Fleet,
-        budget: RetryBudget,
-        window: RetryWindow,
+        retries: RetryAllowance,
         counts: RequestCounts,
         chains: ChainAdmission,
     ):
         self._loop = asyncio.get_running_loop()
         self._fleet = fleet
-        self._budget = budget
-        self._window = window
+        self._retries = retries
         self._counts = counts
         self._chains = chains
 
     def record_request(self, pending: PendingRequest) -> None:
         """Let a request that is about to be sent earn its share of the budget."""
-        self._budget.earn("", pending.pool)
-        self._window.record_request(pending.pool, self._loop.time())
+        self._retries.record_request(pending.pool, self._loop.time())
 
     def record_repeat(self, pending: PendingRequest, now: float) -> None:
         """Charge a call of a run that is itself a retry."""
-        self._budget.debit("", pending.pool)
-        self._window.record_retry(pending.pool, now)
+        self._retries.record_repeat(pending.pool, now)
 
     def choose(self, pending: PendingRequest, now: float) -> Candidate | None:
         """Return a target that was not tried, or else one that may be tried again."""
@@ -123,4 +117,4 @@
             is_call = pending.parent is not None
             share = self._chains.retry_share(rank) if is_call else 1.0
         reserve = 1.0 - rank / MAX_RANK
-        return spend_retry(self._budget, self._window, pool, now, reserve, share)
+        return self._retries.spend(pool, now, reserve, share)
--- a/tests/test_retry_windows.py
+++ b/tests/test_retry_windows.py
@@ -78,7 +78,7 @@
 
 @pytest.mark.parametrize("gap_s", [9.2, 9.5, 9.8, 10.2])
 def test_two_bursts_of_retries_within_a_window_share_its_allowance(gap_s):
-    """All targets turn calls away for a moment, and again before a window has passed."""
+    """All targets turn calls away for a moment, twice within a window."""
     nodes = [
         (index / NODES, RetryBudget(NODE_RATIO, EXTRA * 0.8 / NODES))
         for index in range(NODES)
