Give a node its extra retries only when a window has passed since its start

Callers' requests were repeated beyond what the fleet may when nodes had restarted, or where the nodes are more than the extra retries: each process began with up to 3 tokens for each pool, since it took itself for alone, and never held less than one.

Calls of repeated runs earned retries as well.

Change: the tokens of a process begin at none and are earned by requests. The share of the extra retries comes when all that the process before it spent lies outside the window. With more nodes than extra retries a share is below one, and a node retries only what its requests earn. Calls of repeated runs are charged and earn nothing.

Fleets in tests that don't restart begin as if a window had passed.

--- a/bench/chainsim.py
+++ b/bench/chainsim.py
@@ -445,7 +445,10 @@
             return False
         reserve = 1.0 - rank / (CALLER_CLASSES * LEVEL_SCALE)
         share = node.chains.retry_share(rank)
-        return spend_retry(node.budget, node.window, pool, now, reserve, share)
+        budget = node.budget
+        return spend_retry(
+            budget, node.window, pool, now, reserve, share, budget.max_tokens
+        )
 
     # Gates.
 
--- a/dogwooddock/mesh/ingress.py
+++ b/dogwooddock/mesh/ingress.py
@@ -207,8 +207,6 @@
             self._gate.chains.record_call(
                 now, parent.call.route, route.name, pool, call.rank
             )
-        if call.repeat:
-            self._resends.record_repeat(pending, now)
         return pending
 
     # Quota.
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -117,7 +117,9 @@
         )
         self.config = ConfigHolder(platform.decode_config, self._on_config)
         bounds = env.bounds
-        self.retries = RetryAllowance(bounds.retry_ratio, bounds.retry_extra)
+        self.retries = RetryAllowance(
+            bounds.retry_ratio, bounds.retry_extra, self._loop.time()
+        )
         room = RetryRoom(TurnedAwayShares(), self.retries.window)
         chains = ChainAdmission(room, env.chain_levels)
         self.gate = Gate(platform.wire, self.marks, self.node_id, chains)
@@ -289,7 +291,7 @@
             await asyncio.sleep(MAINTENANCE_PERIOD_S)
             self.gate.connections.close_stale()
             self.marks.quarantine.expire(self._loop.time())
-            self.retries.resize(len(self.fleet.members))
+            self.retries.resize(len(self.fleet.members), self._loop.time())
             self.fleet.dial_zone()
             if self._platform.settings_changed():
                 self.reload()
--- a/dogwooddock/mesh/resends.py
+++ b/dogwooddock/mesh/resends.py
@@ -50,12 +50,13 @@
         self._chains = chains
 
     def record_request(self, pending: PendingRequest) -> None:
-        """Let a request that is about to be sent earn its share of the budget."""
-        self._retries.record_request(pending.pool, self._loop.time())
+        """Let a request that is about to be sent earn its share of the allowance.
 
-    def record_repeat(self, pending: PendingRequest, now: float) -> None:
-        """Charge a call of a run that is itself a retry."""
-        self._retries.record_repeat(pending.pool, now)
+        A call of a run that is itself a retry is charged instead.
+        """
+        self._retries.record_request(
+            pending.pool, self._loop.time(), pending.call.repeat
+        )
 
     def choose(self, pending: PendingRequest, now: float) -> Candidate | None:
         """Return a target that was not tried, or else one that may be tried again."""
--- a/dogwooddock/policy/retrywindow.py
+++ b/dogwooddock/policy/retrywindow.py
@@ -4,7 +4,7 @@
 bucket is empty, although hardly any retry was made in the seconds before.
 """
 
-__all__ = ["RetryWindow", "spend_retry"]
+__all__ = ["WINDOW_S", "RetryWindow", "spend_retry"]
 
 from collections import deque
 from dataclasses import dataclass, field
@@ -128,6 +128,7 @@
     now: float,
     reserve: float,
     turned_away_share: float | None,
+    spare: float,
 ) -> bool:
     """Charge a retry to the token bucket or to the window; report whether it fits.
 
@@ -141,8 +142,9 @@
         reserve: Share of the bucket that must remain, 0 to 1.
         turned_away_share: Importance share of a call that a target turned away; None
             for other retries, which the window does not allow.
+        spare: Retries beyond the ratio that the bucket may allow in a window.
     """
-    within = window.has_room(pool, now, budget.max_tokens)
+    within = window.has_room(pool, now, spare)
     allowed = within and budget.spend("", pool, reserve)
     if not allowed and turned_away_share is not None:
         allowed = window.allows(pool, now, turned_away_share)
--- a/tests/mesh_helpers.py
+++ b/tests/mesh_helpers.py
@@ -169,6 +169,12 @@
     return {name: getattr(env, name) for name in env.__dataclass_fields__}
 
 
+def pass_retry_window(node, nodes):
+    """Give a node its extra retries at once, as if it had run for a window."""
+    node.retries._has_share_at = float("-inf")
+    node.retries.resize(nodes, 0.0)
+
+
 async def restart_node(vm):
     """Abort a node without drain and start a new one at the same addresses."""
     await kill_node(vm.node)
@@ -211,7 +217,8 @@
     await fleet.store.put("op", "config", document)
     try:
         for index, pool in enumerate(pools):
-            await start_vm(fleet, index, pool, bounds=bounds)
+            vm = await start_vm(fleet, index, pool, bounds=bounds)
+            pass_retry_window(vm.node, len(pools))
         await wait_until(lambda: all(vm.node.ready for vm in fleet.vms))
         if send_heartbeats:
             for vm in fleet.vms:
--- a/tests/test_repeat_budget.py
+++ b/tests/test_repeat_budget.py
@@ -7,7 +7,7 @@
 
 from bench.mesh_standin import TargetMode
 
-from .mesh_helpers import running_fleet
+from .mesh_helpers import restart_node, running_fleet, send_first_heartbeat
 from .virtual_time import run
 
 RATIO = 0.2
@@ -66,3 +66,23 @@
             assert _repeats(fleet, "shop") == 1
 
     run(scenario())
+
+
+@pytest.mark.parametrize("restarts", [1, 3])
+def test_nodes_that_restart_have_no_extra_retries_until_a_window_has_passed(restarts):
+    async def scenario():
+        bounds = {"retry_ratio": RATIO, "retry_extra": EXTRA}
+        async with running_fleet("shop", "shop", bounds=bounds) as fleet:
+            sent = 0
+            for number in range(restarts):
+                for vm in fleet.vms:
+                    vm.target.mode = TargetMode()
+                    await restart_node(vm)
+                    await send_first_heartbeat(vm)
+                for vm in fleet.vms:
+                    vm.target.mode = TargetMode(shed=True)
+                await _send_all(fleet, f"shed-{number}", 2)
+                sent += 2
+            assert _repeats(fleet, "shop") <= RATIO * sent + EXTRA
+
+    run(scenario())
--- a/tests/test_retry_windows.py
+++ b/tests/test_retry_windows.py
@@ -18,6 +18,7 @@
 # Part of the ratio that the nodes use.
 NODE_RATIO = 0.8 * RATIO
 NODES = 40
+EXTRA_PER_NODE = EXTRA * 0.8 / NODES
 WINDOW_S = 10
 # Requests a second and node, their share that swings, and the time of a swing.
 REQUESTS_PER_S = 50
@@ -38,7 +39,7 @@
         now = second + index / count
         budget.earn("", POOL)
         window.record_request(POOL, now)
-        retries += spend_retry(budget, window, POOL, now, 0.0, 1.0)
+        retries += spend_retry(budget, window, POOL, now, 0.0, 1.0, EXTRA_PER_NODE)
     return retries
 
 
@@ -46,7 +47,7 @@
 @pytest.mark.parametrize("for_s", [3, 8, 30])
 def test_retries_of_a_fleet_stay_within_its_ratio(from_s, for_s):
     nodes = [
-        (RetryBudget(NODE_RATIO, EXTRA * 0.8 / NODES), RetryWindow(NODE_RATIO))
+        (RetryBudget(NODE_RATIO, EXTRA_PER_NODE), RetryWindow(NODE_RATIO))
         for _ in range(NODES)
     ]
     requests, retries = [0] * 60, [0] * 60
@@ -80,7 +81,7 @@
 def test_two_bursts_of_retries_within_a_window_share_its_allowance(gap_s):
     """All targets turn calls away for a moment, twice within a window."""
     nodes = [
-        (index / NODES, RetryBudget(NODE_RATIO, EXTRA * 0.8 / NODES))
+        (index / NODES, RetryBudget(NODE_RATIO, EXTRA_PER_NODE))
         for index in range(NODES)
     ]
     windows = [RetryWindow(NODE_RATIO) for _ in nodes]
@@ -98,7 +99,7 @@
                 window.record_request(POOL, now + offset_s)
             for _ in range(count * TRIES_PER_REQUEST if in_burst else 0):
                 retries[step] += spend_retry(
-                    budget, window, POOL, now + offset_s, 0.0, 1.0
+                    budget, window, POOL, now + offset_s, 0.0, 1.0, EXTRA_PER_NODE
                 )
     length = round(WINDOW_S / STEP_S)
     for end in range(2 * length, steps):
