Send a request that its target refused only on a new connection

Cause: a target that writes a refusal a second time on a kept connection, where the next answer is due, had its copy taken for the answer to the resend of the same request: answers are told apart by request id, and the resend could use the connection of the send before. The class: an answer taken for another send's.

Change: the gate remembers until its deadline which request its target refused, and sends it again on a new connection only. What was on its way before can't settle the resend there. Cost: one new connection for each resend to the same target, which happens only when each target of the pool has refused.

--- a/bench/mesh_standin.py
+++ b/bench/mesh_standin.py
@@ -200,6 +200,9 @@
         work_s: Service time of a run, in seconds.
         status: Status of its answers.
         shed: Whether it refuses every request with ``Dogwooddock-Not-Run``.
+        refusals: Number of times that each request is refused so before it runs.
+        refuses_twice: Whether each refusal is written once more when the next request
+            arrives on its connection.
         hang_when_full: Whether requests beyond the slots get no answer, instead of
             a refusal with ``Dogwooddock-Not-Run``.
         garble: How its answers are malformed: cut, extra, late, late-refusal, junk,
@@ -225,6 +228,8 @@
     work_s: float = 0.0
     status: int = 200
     shed: bool = False
+    refusals: int = 0
+    refuses_twice: bool = False
     hang_when_full: bool = False
     garble: str = ""
     calls: tuple[tuple[str, str], ...] = ()
@@ -293,6 +298,7 @@
     _sequence: int = 0
     _busy: int = 0
     _answered_at: dict[int, float] = field(default_factory=dict)
+    _second_refusals: dict[int, bytes] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self._server = HttpServer(self._handle)
@@ -395,14 +401,17 @@
         fields = request.fields
         request_id = fields[b"dogwooddock-request-id"].decode()
         self.arrivals.append(request_id)
+        second = self._second_refusals.pop(exchange.conn_id, b"")
+        if second:
+            exchange.write_before(second)
         idle_since = self._answered_at.get(exchange.conn_id, time.monotonic())
         if time.monotonic() - idle_since > self.mode.reset_after_idle_s:
             exchange.write_raw(b"", reset=True)
             return
         if fields.get(b"dogwooddock-expect-instance", b"").decode() != self.target_id:
             exchange.respond(421, self._header_block(request_id), b"")
-        elif self.mode.shed:
-            exchange.respond(503, self._refusal_block(request_id), b"")
+        elif self.mode.shed or self.arrivals.count(request_id) <= self.mode.refusals:
+            self._refuse(exchange, request_id)
         elif self._busy >= self.slots:
             if not self.mode.hang_when_full:
                 exchange.respond(503, self._refusal_block(request_id), b"")
@@ -412,6 +421,13 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    def _refuse(self, exchange: Exchange, request_id: str) -> None:
+        block = self._refusal_block(request_id)
+        exchange.respond(503, block, b"")
+        if self.mode.refuses_twice:
+            head = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+            self._second_refusals[exchange.conn_id] = head + block + b"\r\n"
+
     async def _run(self, exchange: Exchange) -> None:
         fields = exchange.request.fields
         request_id = fields[b"dogwooddock-request-id"].decode()
--- a/dogwooddock/http1/server.py
+++ b/dogwooddock/http1/server.py
@@ -108,6 +108,10 @@
         """
         self._conn.write_raw(self, data, close, reset)
 
+    def write_before(self, data: bytes) -> None:
+        """Write unframed bytes before the response, as faulty servers do."""
+        self._conn.write_before(data)
+
 
 Handler = Callable[[Exchange], None]
 
@@ -248,6 +252,11 @@
         elif reset:
             self._loop.call_later(RESET_DELAY_S, self.abort)
 
+    def write_before(self, data: bytes) -> None:
+        """Write bytes ahead of the responses that are due."""
+        if not self.closed:
+            self._transport.write(data)
+
     def abort(self) -> None:
         """Close the connection with a TCP RST (SO_LINGER with timeout 0)."""
         sock = self._transport.get_extra_info("socket")
--- a/dogwooddock/mesh/targetruns.py
+++ b/dogwooddock/mesh/targetruns.py
@@ -11,6 +11,7 @@
 from ..http1.messages import Response, render_request
 from ..policy.admission import MIN_REMAINING_S
 from ..policy.outcomes import RETRY_INVITING_STATUSES, Outcome, Reason
+from ..policy.recentids import RecentIds
 from .calls import MeshReply
 from .gatecalls import GateCall, Stage
 from .marks import MarkExchange
@@ -57,6 +58,7 @@
         self._release = release
         self._finish = finish
         self._running: dict[bytes, GateCall] = {}
+        self._refused = RecentIds()
 
     def find(self, request_id: bytes) -> GateCall | None:
         """Return the call that runs under an identifier, or None."""
@@ -65,9 +67,16 @@
     # Start.
 
     def start(self, gate_call: GateCall) -> None:
-        """Send a call that holds a slot, once it has a connection."""
+        """Send a call that holds a slot, once it has a connection.
+
+        A request that the target refused before gets a new connection: on that of the
+        earlier send, a second copy of the refusal could still be on its way.
+        """
+        call = gate_call.call
         pool = self._connections.pool
-        conn = self._connections.acquire_idle(gate_call.call.idempotent)
+        conn = None
+        if not self._refused.contains(call.request_id, self._loop.time()):
+            conn = self._connections.acquire_idle(call.idempotent)
         if conn is not None:
             self._send(gate_call, pool, conn)
             return
@@ -150,6 +159,9 @@
 
     def _on_response(self, gate_call: GateCall, response: Response) -> None:
         answer = self._wire.read_answer(response)
+        call = gate_call.call
+        if answer.not_run:
+            self._refused.add(call.request_id, self._loop.time(), call.deadline)
         if gate_call.target_lifetime == self._losses.lifetime:
             self._served.follow(answer)
         reply = self._reply_to(gate_call, answer)
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -80,6 +80,31 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("refusals", [1, 2, 3])
+@pytest.mark.parametrize("targets", [1, 2])
+def test_second_copy_of_a_refusal_is_not_matched_to_the_resend_of_its_request(
+    refusals, targets
+):
+    """The target writes each refusal once more while the resent request runs."""
+
+    async def scenario():
+        pools = ["shop"] * targets + ["stock"]
+        async with running_fleet(*pools, bounds={"retry_extra": 1000.0}) as fleet:
+            for vm in fleet.vms[:targets]:
+                vm.target.mode = TargetMode(
+                    work_s=0.1, refusals=refusals, refuses_twice=True
+                )
+            for number in range(4):
+                request_id = f"order-{number}"
+                answer = await fleet.vms[-1].send_request(
+                    "/order/1", request_id, method="POST"
+                )
+                runs = [run.request_id for run in fleet.runs].count(request_id)
+                assert runs == (answer.status == 200)
+
+    run(scenario())
+
+
 @pytest.mark.parametrize(
     ("method", "path", "idle_s"),
     [("POST", "/order/1", 0.35), ("GET", "/read/1", 0.35), ("POST", "/order/1", 0.0)],
