Read what other processes write without ending on odd entries

One odd entry of another writer in the table of nodes (nested deeply, a number too large, a port out of range) stopped every node that read it from following the table: the job failed, was started again and failed on the same entry; a restarted node did not get its own record either.

Cause: decoders caught the errors that they expected. RecursionError, OverflowError and AttributeError went through; numbers beyond 64 bits and ports beyond 65535 were taken up and failed later, when a link encoded or dialled them.

Change: all text of others is parsed in jsontext, which turns deep nesting and NaN into a ValueError. A frame that holds odd records loses just these, with one line in the log; any other malformed frame closes its link as before.

--- a/dogwooddock/mesh/members.py
+++ b/dogwooddock/mesh/members.py
@@ -1,6 +1,13 @@
 """Table of the known nodes of the fleet and the pools of their targets."""
 
-__all__ = ["MemberTable", "era_of", "position_of", "version_of"]
+__all__ = [
+    "MAX_ERA",
+    "VERSION_BITS",
+    "MemberTable",
+    "era_of",
+    "position_of",
+    "version_of",
+]
 
 from collections.abc import Callable, Iterable
 
@@ -13,6 +20,8 @@
 
 # Bits of a position below the store's era; more than its versions need.
 VERSION_BITS = 40
+# Links carry positions in 64 bits, of which one is the sign.
+MAX_ERA = (1 << 63 - VERSION_BITS) - 1
 
 
 def position_of(era: int, version: int) -> int:
--- a/dogwooddock/mesh/recordrows.py
+++ b/dogwooddock/mesh/recordrows.py
@@ -12,20 +12,63 @@
 import json
 import time
 from collections.abc import Iterable
-from typing import Any
+from ipaddress import IPv4Address
+from typing import Annotated, Any
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from ..errors import DogwooddockError
+from ..jsontext import MAX_WHOLE_NUMBER, parse_json
 from ..policy.lifetimes import TargetState
-from ..policy.quarantine import Mark, MarkKind
+from ..policy.quarantine import MARK_LIFETIME_S, Mark, MarkKind
 from .calls import NodeRecord
 
 MEMBERS_TABLE = "members"
+MAX_SLOTS = 1_000_000
+# Longest warm-up time of a target, in seconds.
+MAX_COLD_S = 86_400.0
+
+
+_WholeNumber = Annotated[int, Field(ge=0, le=MAX_WHOLE_NUMBER, strict=True)]
 
 
 class MalformedRecord(DogwooddockError):
     """The value of a row is not a valid node record."""
 
 
+class _RecordBody(BaseModel):
+    """Value of a node's row; a later release may add fields."""
+
+    model_config = ConfigDict(extra="ignore", hide_input_in_errors=True)
+
+    ip: IPv4Address
+    port: int = Field(ge=1, le=65535, strict=True)
+    zone: str
+    pool: str
+    target_id: str
+    born_ms: _WholeNumber
+    sequence: _WholeNumber
+    slots: int = Field(ge=0, le=MAX_SLOTS, strict=True)
+    state: str
+    cold_s: float = Field(ge=0, le=MAX_COLD_S)
+
+
+class _MarkBody(BaseModel):
+    model_config = ConfigDict(extra="ignore", hide_input_in_errors=True)
+
+    request: str
+    node: _WholeNumber
+    until_unix_s: float = Field(allow_inf_nan=False)
+    kind: MarkKind
+    lifetime: _WholeNumber
+
+
+class _MarkedBody(BaseModel):
+    model_config = ConfigDict(extra="ignore", hide_input_in_errors=True)
+
+    marks: list[_MarkBody] = []
+
+
 def record_key(address: tuple[str, int]) -> str:
     """Return the key of a node's row."""
     return f"{address[0]}:{address[1]}"
@@ -59,20 +102,21 @@
         MalformedRecord: The value is not a valid node record.
     """
     try:
-        row = json.loads(value)
-        return NodeRecord(
-            (str(row["ip"]), int(row["port"])),
-            str(row["zone"]),
-            str(row["pool"]),
-            str(row["target_id"]),
-            int(row["born_ms"]),
-            int(row["sequence"]),
-            int(row["slots"]),
-            TargetState[row["state"]],
-            float(row["cold_s"]),
-        )
-    except (ValueError, KeyError, TypeError) as exc:
-        raise MalformedRecord(f"row value is not a valid node record: {exc!r}") from exc
+        body = _RecordBody.model_validate(parse_json(value))
+        state = TargetState[body.state]
+    except (ValidationError, ValueError, KeyError) as exc:
+        raise MalformedRecord(f"row value is not a valid node record: {exc}") from exc
+    return NodeRecord(
+        (str(body.ip), body.port),
+        body.zone,
+        body.pool,
+        body.target_id,
+        body.born_ms,
+        body.sequence,
+        body.slots,
+        state,
+        body.cold_s,
+    )
 
 
 def decode_marks(value: bytes) -> tuple[Mark, ...]:
@@ -83,9 +127,10 @@
     """
     now = time.time()
     try:
-        marks = [_decode_mark(row, now) for row in json.loads(value).get("marks", ())]
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
-        raise MalformedRecord(f"row value has no valid marks: {exc!r}") from exc
+        bodies = _MarkedBody.model_validate(parse_json(value)).marks
+    except (ValidationError, ValueError) as exc:
+        raise MalformedRecord(f"row value has no valid marks: {exc}") from exc
+    marks = [_mark_from(body, now) for body in bodies]
     return tuple(mark for mark in marks if mark.remaining_s > 0)
 
 
@@ -99,11 +144,6 @@
     }
 
 
-def _decode_mark(row: dict[str, Any], now: float) -> Mark:
-    return Mark(
-        str(row["request"]),
-        int(row["node"]),
-        int(row["until_unix_s"] - now),
-        MarkKind(row["kind"]),
-        int(row["lifetime"]),
-    )
+def _mark_from(body: _MarkBody, now: float) -> Mark:
+    remaining_s = int(max(0.0, min(MARK_LIFETIME_S, body.until_unix_s - now)))
+    return Mark(body.request, body.node, remaining_s, body.kind, body.lifetime)
--- a/dogwooddock/peers/linkcodec.py
+++ b/dogwooddock/peers/linkcodec.py
@@ -21,11 +21,13 @@
 
 import math
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import IntEnum
+from ipaddress import IPv4Address
 from typing import Any
 
+import structlog
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
 from thrift.Thrift import TException
 from thrift.transport.TTransport import TMemoryBuffer
@@ -42,6 +44,7 @@
 MAX_FRAME_BYTES = 80 * 1024 * 1024
 MAX_I16 = (1 << 15) - 1
 MAX_I32 = (1 << 31) - 1
+MAX_PORT = 65535
 # A node's part of a quota is sent as a whole number of this fraction of the quota.
 PARTS_PER_QUOTA = 10_000
 
@@ -50,6 +53,8 @@
 _HEADER = struct.Struct("!IB")
 _OUTCOMES = (Outcome.ANSWERED, Outcome.NOT_RUN, Outcome.UNKNOWN)
 
+log = structlog.get_logger()
+
 
 class _FrameType(IntEnum):
     CALL = 1
@@ -217,7 +222,7 @@
 
 def _from_wire_record(wire: ttypes.NodeRecord) -> NodeRecord:
     return NodeRecord(
-        (wire.ip, wire.port),
+        _from_wire_address(wire.ip, wire.port),
         wire.zone,
         wire.pool,
         wire.target_id,
@@ -229,6 +234,28 @@
     )
 
 
+def _from_wire_address(ip: str, port: int) -> tuple[str, int]:
+    """Return an address.
+
+    Raises:
+        ValueError: It is no IPv4 address, or the port is out of range.
+    """
+    if not 1 <= port <= MAX_PORT:
+        raise ValueError(f"port {port} is out of range")
+    return str(IPv4Address(ip)), port
+
+
+def _from_wire_records(wires: Iterable[ttypes.NodeRecord]) -> tuple[NodeRecord, ...]:
+    """Return the valid records; a peer may pass on what another writer left."""
+    records = []
+    for wire in wires:
+        try:
+            records.append(_from_wire_record(wire))
+        except (ValueError, TypeError) as exc:
+            log.warning("record_malformed", key=str(wire.ip)[:40], error=str(exc)[:80])
+    return tuple(records)
+
+
 def _call_to_wire(frame: CallFrame, now: float) -> ttypes.LinkCall:
     call = frame.call
     return ttypes.LinkCall(
@@ -383,7 +410,7 @@
 
 
 def _push_from_wire(wire: ttypes.StatePush, now: float) -> PushFrame:
-    members = tuple(_from_wire_record(record) for record in wire.members)
+    members = _from_wire_records(wire.members)
     update = StateUpdate(
         wire.config_version,
         wire.document,
@@ -392,7 +419,8 @@
         wire.members_since or 0,
         wire.members_until or 0,
     )
-    return PushFrame(update, (wire.ask_ip, wire.ask_port) if wire.ask_ip else None)
+    ask = _from_wire_address(wire.ask_ip, wire.ask_port) if wire.ask_ip else None
+    return PushFrame(update, ask)
 
 
 def _ask_to_wire(frame: QuotaAskFrame, now: float) -> ttypes.LinkQuotaAsk:
@@ -552,6 +580,9 @@
         ValueError,
         TypeError,
         IndexError,
+        OverflowError,
+        RecursionError,  # Unknown fields are skipped however deeply they are nested.
+        struct.error,
         AttributeError,  # A nested struct is missing.
     ) as exc:
         raise PeerError("malformed frame; run the same release on all nodes") from exc
--- a/dogwooddock/platform/desiredstate.py
+++ b/dogwooddock/platform/desiredstate.py
@@ -2,13 +2,13 @@
 
 __all__ = ["decode_desired_state"]
 
-import json
 import re
 from typing import Annotated, Any
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from ..http1.server import ServerLimits
+from ..jsontext import parse_json
 from ..mesh.routing import DesiredState, MeshRoute
 from ..policy.accounts import ClientAccount
 from .values import FormatError, parse_duration, parse_version
@@ -25,7 +25,7 @@
 
 class _SplitEntry(_Spec):
     service: str = Field(min_length=1)
-    weight: float = Field(ge=0)
+    weight: float = Field(ge=0, allow_inf_nan=False)
 
 
 class _RouteSpec(_Spec):
@@ -131,7 +131,7 @@
         FormatError: The document is malformed; the message names the field.
     """
     try:
-        body: dict[str, Any] = json.loads(document)
+        body: dict[str, Any] = parse_json(document)
         version = parse_version(body["version"])
         routes: list[MeshRoute] = []
         health_paths: dict[str, str] = {}
--- a/dogwooddock/platform/heartbeats.py
+++ b/dogwooddock/platform/heartbeats.py
@@ -2,16 +2,18 @@
 
 __all__ = ["decode_heartbeat", "decode_leave", "parse_rpc"]
 
-import json
+from typing import Annotated
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from ..http1.messages import Request
+from ..jsontext import MAX_WHOLE_NUMBER, parse_json
 from ..policy.lifetimes import Heartbeat, TargetState
 from .names import RPC_PATH
 from .values import FormatError, parse_address, parse_duration
 
 _RPC_CALLS = {"instances.heartbeat": "heartbeat", "instances.deregister": "leave"}
+_WholeNumber = Annotated[int, Field(ge=0, le=MAX_WHOLE_NUMBER)]
 _STATES = {"ready": TargetState.READY, "draining": TargetState.DRAINING}
 
 
@@ -27,15 +29,15 @@
     slots: int = Field(ge=1, le=1_000_000)
     state: str
     cold_left: str = "0ms"
-    seq: int = Field(ge=0)
-    born: int = Field(ge=0, default=0)
+    seq: _WholeNumber
+    born: _WholeNumber = 0
 
 
 class _LeaveBody(BaseModel):
     model_config = ConfigDict(extra="ignore", strict=True)
 
-    seq: int = Field(ge=0, default=0)
-    born: int = Field(ge=0, default=0)
+    seq: _WholeNumber = 0
+    born: _WholeNumber = 0
 
 
 def parse_rpc(request: Request) -> tuple[str, str]:
@@ -61,16 +63,19 @@
         FormatError: A field is missing, has a wrong type or an unknown value.
     """
     try:
-        parsed = _HeartbeatBody.model_validate(json.loads(body))
+        parsed = _HeartbeatBody.model_validate(parse_json(body))
     except (ValidationError, ValueError) as exc:
         raise FormatError(f"heartbeat is malformed: {exc!r}") from exc
     state = _STATES.get(parsed.state)
     if state is None:
         raise FormatError(f"state is {parsed.state!r}; write ready or draining")
+    address = parse_address(parsed.address, "address")
+    if not address[1]:
+        raise FormatError(f"address is {parsed.address!r}; write a port of 1 to 65535")
     return Heartbeat(
         target_id=target_id,
         pool=parsed.service,
-        address=parse_address(parsed.address, "address"),
+        address=address,
         slots=parsed.slots,
         state=state,
         cold_s=parse_duration(parsed.cold_left, "cold_left"),
@@ -92,7 +97,7 @@
     if not body.strip():
         return 0, 0
     try:
-        parsed = _LeaveBody.model_validate(json.loads(body))
+        parsed = _LeaveBody.model_validate(parse_json(body))
     except (ValidationError, ValueError) as exc:
         raise FormatError(f"leave is malformed: {exc!r}") from exc
     return parsed.born, parsed.seq
--- a/dogwooddock/platform/store.py
+++ b/dogwooddock/platform/store.py
@@ -13,6 +13,8 @@
 
 from ..http1.client import ConnectionPool, RequestFailure
 from ..http1.messages import Response, render_request
+from ..jsontext import parse_json
+from ..mesh.members import MAX_ERA, VERSION_BITS
 from ..mesh.rows import (
     Change,
     ExpectedVersion,
@@ -30,6 +32,7 @@
 CALL_TIMEOUT_S = 2.0
 LONG_POLL_MARGIN_S = 1.5
 REUSE_IDLE_S = 20.0
+MAX_ERA_DIGITS = len(str(MAX_ERA))
 
 log = structlog.get_logger()
 
@@ -45,7 +48,7 @@
 def _parse_rows(body: dict[str, Any]) -> tuple[Row, ...]:
     try:
         return tuple(_parse_row(entry) for entry in body["rows"])
-    except (KeyError, TypeError, ValueError) as exc:
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
         raise StoreUncertain(
             f"malformed rows in the store's response: {exc!r}"
         ) from exc
@@ -53,13 +56,32 @@
 
 def _parse_version(body: dict[str, Any]) -> int:
     try:
-        return int(body["ver"])
+        return _whole_number(body["ver"])
     except (KeyError, TypeError, ValueError) as exc:
         raise StoreUncertain(
             f"malformed version in the store's response: {exc!r}"
         ) from exc
 
 
+def _whole_number(value: object) -> int:
+    """Return a version of the store.
+
+    Raises:
+        ValueError: The value is no whole number, or out of range.
+    """
+    if type(value) is not int or not 0 <= value < 1 << VERSION_BITS:
+        raise ValueError(f"version out of range: {str(value)[:40]}")
+    return value
+
+
+def _parse_era(header: bytes) -> int | None:
+    """Parse the number of an era; None if it is malformed or out of range."""
+    if not header.isdigit() or len(header) > MAX_ERA_DIGITS:
+        return None
+    era = int(header)
+    return era if era <= MAX_ERA else None
+
+
 def _parse_row(entry: dict[str, Any]) -> Row:
     removed = bool(entry.get("removed"))
     value = b"" if removed else base64.b64decode(entry.get("value", ""))
@@ -68,7 +90,7 @@
         entry.get("part", ""),
         entry["key"],
         value,
-        int(entry["ver"]),
+        _whole_number(entry["ver"]),
         removed,
     )
 
@@ -220,10 +242,10 @@
         first, self._answered = not self._answered, True
         if header is None:
             return
-        if not header.isdigit():
+        era = _parse_era(header)
+        if era is None:
             self._log_malformed_era(header)
             return
-        era = int(header)
         if era < self.era:
             raise StoreUncertain(f"the response is from era {era}, before {self.era}")
         if era == self.era:
@@ -247,7 +269,7 @@
 
 def _decode_json(response: Response) -> dict[str, Any]:
     try:
-        body = json.loads(response.body) if response.body else {}
+        body = parse_json(response.body) if response.body else {}
     except ValueError as exc:
         raise StoreUncertain("the store's response is not JSON") from exc
     return body if isinstance(body, dict) else {}
--- a/dogwooddock/platform/values.py
+++ b/dogwooddock/platform/values.py
@@ -8,15 +8,21 @@
 ]
 
 from ..errors import DogwooddockError
+from ..jsontext import MAX_WHOLE_NUMBER
 from ..settings import parse_address as _parse_address
 
+# Longer durations are shortened to this; links carry milliseconds in 32 bits.
+MAX_DURATION_S = 86_400.0
+# Digits of the largest whole number that links carry.
+MAX_DIGITS = len(str(MAX_WHOLE_NUMBER))
+
 
 class FormatError(DogwooddockError):
     """A malformed value; the message names the field and says how to correct it."""
 
 
 def parse_duration(text: object, name: str) -> float:
-    """Parse a duration such as ``1500ms`` or ``2.5s`` into seconds.
+    """Parse a duration such as ``1500ms`` or ``2.5s`` into seconds, at most a day.
 
     Raises:
         FormatError: The text is not a finite non-negative number with a unit.
@@ -29,7 +35,7 @@
                 except ValueError:
                     break
                 if 0 <= value < float("inf"):
-                    return value
+                    return min(value, MAX_DURATION_S)
                 break
     raise FormatError(f"{name} is {text!r}; write a number with ms or s")
 
@@ -41,7 +47,9 @@
         FormatError: The text is not a version.
     """
     if isinstance(text, str) and text[:1] == "r" and text[1:].isdecimal():
-        return int(text[1:])
+        number = int(text[1:]) if len(text) <= 1 + MAX_DIGITS else MAX_WHOLE_NUMBER + 1
+        if number <= MAX_WHOLE_NUMBER:
+            return number
     raise FormatError(f"version is {text!r}; write r and a whole number")
 
 
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,206 @@
+"""Odd entries among those that other processes write.
+
+Guards against a reader that ends, or stops following a table, because another writer
+left an entry that is nested deeply, has a number too large or a port out of range.
+"""
+
+import asyncio
+import json
+
+import pytest
+
+from dogwooddock.errors import DogwooddockError
+from dogwooddock.http1.messages import Response
+from dogwooddock.mesh.calls import StateUpdate
+from dogwooddock.mesh.recordrows import decode_marks, decode_record
+from dogwooddock.mesh.rows import Change, StoreUncertain
+from dogwooddock.peers.linkcodec import (
+    FrameReader,
+    MarksFrame,
+    PushFrame,
+    encode_frame,
+)
+from dogwooddock.platform.desiredstate import decode_desired_state
+from dogwooddock.platform.heartbeats import decode_heartbeat, decode_leave
+from dogwooddock.platform.store import _decode_json, _parse_rows, _parse_version
+
+from .mesh_helpers import (
+    DEFAULT_ROUTES,
+    config_document,
+    running_fleet,
+    send_first_heartbeat,
+    send_request,
+    start_vm,
+    wait_until,
+)
+from .virtual_time import run
+
+DEEP = b"[" * 100_000 + b"]" * 100_000
+NUMBERS = ["1e999", "-1e999", "NaN", "9" * 30, "-1", "9" * 5000, "1e300", '"x"', "[]"]
+PORTS = ["0", "-1", "65536", "70000", "99999999999", "1.5", '"80a"', "null"]
+IPS = ['"10.0.0"', '"256.1.1.1"', '"host.example"', '""', "7", '"::1"', '"1.2.3.4.5"']
+
+RECORD = {
+    "marks": [],
+    "ip": "10.9.9.9",
+    "port": 7400,
+    "zone": "zone-a",
+    "pool": "shop",
+    "target_id": "t-odd",
+    "born_ms": 1,
+    "sequence": 1,
+    "slots": 4,
+    "state": "READY",
+    "cold_s": 0.0,
+}
+MARK = {
+    "request": "f" * 24,
+    "node": 1,
+    "lifetime": 1,
+    "kind": 0,
+    "until_unix_s": 4_000_000_000,
+}
+HEARTBEAT = {
+    "service": "shop",
+    "address": "10.9.9.9:8080",
+    "slots": 4,
+    "state": "ready",
+    "cold_left": "0ms",
+    "seq": 1,
+    "born": 1,
+}
+LEAVE = {"seq": 1, "born": 1}
+
+
+def _with(body, field, text):
+    """Return a JSON object in which one field has a literal value."""
+    marker = "MARKER"
+    rendered = json.dumps({**body, field: marker})
+    return rendered.replace(f'"{marker}"', text).encode()
+
+
+def _bodies(body, numbers, **others):
+    nested = {name: DEEP.decode() for name in body}
+    odd = [(field, text) for field in numbers for text in NUMBERS]
+    odd += [(field, text) for field, texts in others.items() for text in texts]
+    odd += list(nested.items())
+    yield DEEP
+    yield b'{"a":' * 50_000 + b"1" + b"}" * 50_000
+    yield b"\xff\xfe{}"
+    for field, text in odd:
+        yield _with(body, field, text)
+
+
+def _mark_bodies():
+    for body in _bodies(MARK, ("node", "lifetime", "kind", "until_unix_s")):
+        yield b'{"marks":[' + body + b"]}"
+
+
+READERS = [
+    (decode_record, list(_bodies(RECORD, ("born_ms", "sequence", "slots", "cold_s"),
+                                 port=PORTS, ip=IPS))),
+    (decode_marks, list(_mark_bodies())),
+    (lambda body: decode_heartbeat("t-odd", body),
+     list(_bodies(HEARTBEAT, ("seq", "born", "slots"),
+                  address=[f'"10.9.9.9:{port}"' for port in PORTS],
+                  cold_left=['"1e300s"', '"9e999s"', '"nans"', '"-1s"']))),
+    (decode_leave, list(_bodies(LEAVE, ("seq", "born")))),
+    (decode_desired_state, list(_bodies({"version": "r1", "resources": []}, (),
+                                        version=['"r' + "9" * 30 + '"',
+                                                 '"r' + "9" * 5000 + '"']))),
+]  # fmt: skip
+
+
+def _is_sendable(value):
+    """Report whether links can carry what a reader has taken up."""
+    if isinstance(value, tuple):
+        frame = MarksFrame(value)
+    else:
+        frame = PushFrame(StateUpdate(0, b"", (value,), 0))
+    (sent,) = FrameReader().feed(encode_frame(frame, 0.0), 0.0)
+    return type(sent) is type(frame)
+
+
+@pytest.mark.parametrize(
+    ("reader", "bodies"),
+    READERS,
+    ids=["record", "marks", "heartbeat", "leave", "desired state"],
+)
+def test_odd_body_is_refused_with_an_error_of_the_reader_or_is_harmless(reader, bodies):
+    faults = []
+    for body in bodies:
+        try:
+            value = reader(body)
+            if reader in (decode_record, decode_marks):
+                assert _is_sendable(value)
+        except DogwooddockError:
+            continue
+        except Exception as exc:
+            faults.append((body[:90], type(exc).__name__))
+    assert faults == []
+
+
+@pytest.mark.parametrize("port", PORTS)
+@pytest.mark.parametrize("reader", ["record", "heartbeat"])
+def test_port_out_of_range_is_refused(reader, port):
+    with pytest.raises(DogwooddockError):
+        if reader == "record":
+            decode_record(_with(RECORD, "port", port))
+        else:
+            body = _with(HEARTBEAT, "address", f'"10.9.9.9:{port}"')
+            decode_heartbeat("t-odd", body)
+
+
+ROW = {"table": "members", "part": "", "key": "k", "value": "", "ver": 1}
+
+
+@pytest.mark.parametrize(
+    "body",
+    [DEEP, b'{"rows":7,"ver":1}', b'{"rows":[7],"ver":1}', b'{"rows":' + DEEP + b"}"]
+    + [b'{"rows":[' + _with(ROW, "ver", text) + b'],"ver":1}' for text in NUMBERS]
+    + [_with({"rows": []}, "ver", text) for text in NUMBERS],
+    ids=lambda body: body[:50].decode() + str(len(body)),
+)
+def test_odd_answer_of_the_store_is_an_uncertain_outcome(body):
+    with pytest.raises(StoreUncertain):
+        answer = _decode_json(Response(200, (), {}, body, True))
+        _parse_rows(answer)
+        _parse_version(answer)
+
+
+ODD_ROWS = {
+    "nested": DEEP,
+    "number": _with(RECORD, "born_ms", "1e999"),
+    "long number": _with(RECORD, "sequence", "9" * 30),
+    "port": _with(RECORD, "port", "70000"),
+    "negative port": _with(RECORD, "port", "-5"),
+    "ip": _with(RECORD, "ip", '"256.1.1.1"'),
+    "mark": _with(RECORD, "marks", f"[{_with(MARK, 'node', '9' * 30).decode()}]"),
+    "nested mark": _with(RECORD, "marks", f"[{DEEP.decode()}]"),
+}
+
+
+@pytest.mark.parametrize("odd", ODD_ROWS, ids=list(ODD_ROWS))
+def test_nodes_follow_their_tables_past_an_odd_entry(odd, capsys):
+    async def scenario():
+        async with running_fleet("shop", "stock", "shop") as fleet:
+            store = fleet.store.rows
+            for part in ("", "zone-a", "zone-b"):
+                change = Change("members", part, "10.9.9.9:7400", ODD_ROWS[odd])
+                await store.transact([], [change])
+            await asyncio.sleep(3.0)
+            added = await start_vm(fleet, 3, "shop")
+            await send_first_heartbeat(added)
+            await fleet.store.put("op", "config", config_document(2, DEFAULT_ROUTES))
+            vms = fleet.vms
+            await wait_until(lambda: all(vm.node.config.version == 2 for vm in vms))
+            await wait_until(
+                lambda: all(
+                    vm.node.fleet.members.find(added.env.peer_listen) for vm in vms
+                )
+            )
+            answer = await send_request(vms[1].env.caller_listen, "/read/1", "after")
+            assert answer.status == 200
+
+    run(scenario())
+    assert "job_failed" not in capsys.readouterr().out
