Refuse answers whose connection ends within their head

Cause: the parser of the standard library takes the end of the connection for the end of the head. What it had read by then counted: a Content-Length without a number, a 204, a HEAD. Cut in the status line, the answer ended in an error that nothing expected. An interim response other than 100 was taken for the answer, too. The class: an end of input taken for a delimiter.

Change: a response class remembers the last line of the head, refuses a head that no blank line ends, turns the parser's errors into those that the client expects, and passes over interim responses. Here this can't happen on the users' platform: its parser completes no head without the blank line.

--- a/dogwooddock/targets/client.py
+++ b/dogwooddock/targets/client.py
@@ -25,6 +25,7 @@
     TargetError,
     TargetUnreachable,
 )
+from .responsehead import WholeHeadResponse
 
 CONNECT_TIMEOUT_S = 0.5
 TIMEOUT_STEP_S = 0.01
@@ -225,6 +226,7 @@
 
     def _connect(self) -> _TargetConnection:
         http = HTTPConnection(*self.address, timeout=CONNECT_TIMEOUT_S)
+        http.response_class = WholeHeadResponse
         try:
             http.connect()
         except (NewConnectionError, ConnectTimeout, HTTPError, OSError) as exc:
