Take up only whole check-ins, and acknowledge only drains that are in force

Cause: fields had defaults, so that an incomplete message named a target; and an acknowledgement did not ask whether the state was taken up.

Change: a check-in must have every field, and a leave message with a body both of its own (an empty body, which the platform's targets send, names no lifetime, as before). Within a lifetime a later state counts whatever its sequence number, so a whole message of another writer can't hide a drain. A drain or leave of a lifetime that is not the current one is answered 503, and the target tries elsewhere.

The case b"{}" of test_leave_bodies_are_decoded asserted the fault; it is refused now, as test_leave_of_another_writer_is_not_acknowledged_and_ends_no_target checks. The base body of test_malformed_heartbeat_is_rejected is whole now, so that each of its changes is still the cause of the refusal.

--- a/dogwooddock/mesh/heartbeats.py
+++ b/dogwooddock/mesh/heartbeats.py
@@ -113,7 +113,10 @@
     # Messages of the target.
 
     def on_heartbeat(self, beat: Heartbeat) -> bool:
-        """Process a heartbeat; return whether to acknowledge it."""
+        """Process a heartbeat; return whether to acknowledge it.
+
+        A drain is acknowledged only if it was taken up.
+        """
         if not self._recovered or beat.pool != self._env.pool:
             return False
         previous = self._tracker.current
@@ -131,6 +134,8 @@
         if current is None or current.target_id != beat.target_id:
             return True
         self._apply(current)
+        if not _is_in_force(beat.state, current):
+            return False
         return self._may_acknowledge(current)
 
     def _report_replacement(self, previous: Heartbeat | None, beat: Heartbeat) -> None:
@@ -150,6 +155,8 @@
         if current is None or current.target_id != target_id:
             return True
         self._apply(current)
+        if not _is_in_force(TargetState.GONE, current):
+            return False
         return self._may_acknowledge(current)
 
     def _on_leaving_answer(self, target_id: str) -> None:
@@ -268,6 +275,11 @@
         return True
 
 
+def _is_in_force(state: TargetState, current: Heartbeat) -> bool:
+    """Report whether a state that a target named, or a later one, was taken up."""
+    return current.state >= state
+
+
 def _is_unchanged(previous: NodeRecord, record: NodeRecord) -> bool:
     return (previous.target_id, previous.born_ms, previous.state, previous.slots) == (
         record.target_id,
--- a/dogwooddock/platform/heartbeats.py
+++ b/dogwooddock/platform/heartbeats.py
@@ -18,26 +18,31 @@
 
 
 class _HeartbeatBody(BaseModel):
-    """Body of a heartbeat; ``cold_left`` is the warm-up time after the start."""
+    """Body of a heartbeat; ``cold_left`` is the warm-up time after the start.
+
+    One that lacks a field is from another writer.
+    """
 
     model_config = ConfigDict(extra="ignore", strict=True)
 
     service: str = Field(min_length=1)
     address: str
-    zone: str = ""
-    version: str = ""
+    zone: str
+    version: str
     slots: int = Field(ge=1, le=1_000_000)
     state: str
-    cold_left: str = "0ms"
+    cold_left: str
     seq: _WholeNumber
-    born: _WholeNumber = 0
+    born: _WholeNumber
 
 
 class _LeaveBody(BaseModel):
+    """Body of a leave message that has one."""
+
     model_config = ConfigDict(extra="ignore", strict=True)
 
-    seq: _WholeNumber = 0
-    born: _WholeNumber = 0
+    seq: _WholeNumber
+    born: _WholeNumber
 
 
 def parse_rpc(request: Request) -> tuple[str, str]:
--- a/dogwooddock/policy/lifetimes.py
+++ b/dogwooddock/policy/lifetimes.py
@@ -66,9 +66,9 @@
     def observe(self, heartbeat: Heartbeat) -> bool:
         """Process a heartbeat; return whether lifetime, state or slots changed.
 
-        Heartbeats of an older lifetime, of a target that has left, or with a sequence
-        number that is not newer are ignored. Within a lifetime the state never
-        decreases.
+        Heartbeats of an older lifetime, or of a target that has left, are ignored.
+        Within a lifetime the state never decreases; of a heartbeat whose sequence
+        number is not newer, only a later state counts.
         """
         known = self.current
         if heartbeat.born_ms <= self._departed_ms.get(heartbeat.target_id, -1):
@@ -81,9 +81,10 @@
                 return False
             self.current = heartbeat
             return True
-        if heartbeat.sequence <= known.sequence:
-            return False
         state = max(known.state, heartbeat.state)
+        if heartbeat.sequence <= known.sequence:
+            self.current = replace(known, state=state)
+            return state != known.state
         self.current = replace(heartbeat, state=state)
         return (state, heartbeat.slots) != (known.state, known.slots)
 
--- a/tests/test_mesh_target.py
+++ b/tests/test_mesh_target.py
@@ -174,8 +174,11 @@
             body = {
                 "service": "shop",
                 "address": "127.0.0.1:1",
+                "zone": "zone-a",
+                "version": "v1",
                 "slots": 4,
                 "state": "ready",
+                "cold_left": "0ms",
                 "seq": 1,
                 "born": 5,
                 **change,
@@ -186,6 +189,88 @@
     run(scenario())
 
 
+WHOLE_HEARTBEAT = {
+    "service": "shop",
+    "zone": "zone-a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_left": "0ms",
+}
+OTHER_WRITERS = {
+    **{f"no {name}": {name: None} for name in (*WHOLE_HEARTBEAT, "address", "born")},
+    "whole": {},
+}
+
+
+@pytest.mark.parametrize("change", OTHER_WRITERS.values(), ids=list(OTHER_WRITERS))
+def test_drain_is_in_force_after_a_heartbeat_of_another_writer(change):
+    """Its sequence number is far ahead of the target's own."""
+
+    async def scenario():
+        async with running_fleet("shop", "stock") as fleet:
+            vm = fleet.vms[0]
+            host, port = vm.target.address
+            body = {
+                **WHOLE_HEARTBEAT,
+                "address": f"{host}:{port}",
+                "seq": 1000,
+                "born": vm.target.born_ms,
+                **change,
+            }
+            body = {name: value for name, value in body.items() if value is not None}
+            status = await vm.target._post("instances.heartbeat", body)
+            assert status == (400 if change else 200)
+            assert await vm.target.send_heartbeat("draining") == 200
+            assert not vm.node.gate.accepting
+            answer = await fleet.vms[1].send_request()
+            assert answer.status == 503 and not fleet.runs
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("body", "status"),
+    [
+        ({}, 400),
+        ({"seq": 5}, 400),
+        ({"born": 7}, 400),
+        ({"seq": 5, "born": "x"}, 400),
+        ({"seq": 5, "born": 7}, 503),
+    ],
+)
+def test_leave_of_another_writer_is_not_acknowledged_and_ends_no_target(body, status):
+    async def scenario():
+        async with running_fleet("shop", "stock") as fleet:
+            vm = fleet.vms[0]
+            assert await vm.target._post("instances.deregister", body) == status
+            assert vm.node.gate.accepting
+            assert (await fleet.vms[1].send_request()).status == 200
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("state", ["draining", "leave"])
+def test_drain_of_another_lifetime_is_not_acknowledged(state):
+    """Another writer named a later lifetime than the target has."""
+
+    async def scenario():
+        async with running_fleet("shop", "stock") as fleet:
+            vm = fleet.vms[0]
+            host, port = vm.target.address
+            born_ms = vm.target.born_ms + 60_000
+            body = {**WHOLE_HEARTBEAT, "address": f"{host}:{port}", "seq": 1}
+            body["born"] = born_ms
+            assert await vm.target._post("instances.heartbeat", body) == 200
+            await wait_until(lambda: vm.node.gate.accepting)
+            if state == "leave":
+                assert await vm.target.leave() == 503
+            else:
+                assert await vm.target.send_heartbeat(state) == 503
+
+    run(scenario())
+
+
 def test_stopping_node_finishes_a_running_request_and_its_downstream_calls():
     async def scenario():
         async with running_fleet("shop", "stock") as fleet:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -184,7 +184,7 @@
 
 @pytest.mark.parametrize(
     ("body", "expected"),
-    [(b"", (0, 0)), (b"{}", (0, 0)), (b'{"born": 5, "seq": 2}', (5, 2))],
+    [(b"", (0, 0)), (b" ", (0, 0)), (b'{"born": 5, "seq": 2}', (5, 2))],
 )
 def test_leave_bodies_are_decoded(body, expected):
     assert decode_leave(body) == expected
