Finish at a stop what was taken, and take only what can be finished

Cause: as long as the gate was busy, the node neither closed its listener nor refused, and it counted a request as done when its answer was handed to the connection, not when the connection had taken it.

Change: Shutdown, in policy/ and without I/O, says what a stopping node takes and when it may exit. In the drain period it takes every request; after it only those whose longest wait ends before the exit, and calls of its own target's runs. The others get 503 with the reason draining, before anything is sent. The process waits until connections have taken the bytes of all answers.

The product's own interface (dogwooddock node) still has a stop of its own.

--- a/bench/mesh_standin.py
+++ b/bench/mesh_standin.py
@@ -223,6 +223,8 @@
             none.
         limit_in_refusals: Whether refusals name the limit as well.
         leaving: Whether its answers say that it leaves.
+        body_bytes: Size of the bodies of its answers; 0 for a digest of the request.
+        work_by_path: Service times of the paths that start so, in seconds.
     """
 
     work_s: float = 0.0
@@ -243,6 +245,15 @@
     rate_limit: str = ""
     limit_in_refusals: bool = True
     leaving: bool = False
+    body_bytes: int = 0
+    work_by_path: tuple[tuple[str, float], ...] = ()
+
+    def service_s(self, path: str) -> float:
+        """Return the service time of a path, in seconds."""
+        for prefix, work_s in self.work_by_path:
+            if path.startswith(prefix):
+                return work_s
+        return self.work_s
 
 
 @dataclass
@@ -452,7 +463,8 @@
             return
         try:
             status = await self._call_downstream(request_id) or self.mode.status
-            await asyncio.sleep(self.mode.work_s)
+            path = exchange.request.target.decode()
+            await asyncio.sleep(self.mode.service_s(path))
         finally:
             self._busy -= 1
         if exchange.disconnected or self.crashed:
@@ -511,7 +523,7 @@
 
     def _send_answer(self, exchange: Exchange, request_id: str, status: int) -> None:
         self._answered_at[exchange.conn_id] = time.monotonic()
-        body = answer_body(request_id)
+        body = b"x" * self.mode.body_bytes or answer_body(request_id)
         block = self._header_block(request_id, stamp=True)
         garble = self.mode.garble
         if not garble:
--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -117,11 +117,11 @@
         "grace-period-exceeded",
         (
             (
-                "mesh/node.py",
-                "if not self.ingress.in_flight:",
-                "if self.ingress.in_flight < 0:",
+                "policy/shutdown.py",
+                "finished = not work.requests and not work.unwritten_bytes",
+                "finished = work.requests < 0",
             ),
-            ("mesh/node.py", "EXIT_MARGIN_S = 0.6", "EXIT_MARGIN_S = -9.0"),
+            ("policy/shutdown.py", "EXIT_MARGIN_S = 0.6", "EXIT_MARGIN_S = -9.0"),
         ),
     ),
     Mutant(
--- a/dogwooddock/http1/server.py
+++ b/dogwooddock/http1/server.py
@@ -252,6 +252,11 @@
         elif reset:
             self._loop.call_later(RESET_DELAY_S, self.abort)
 
+    @property
+    def unwritten_bytes(self) -> int:
+        """Return the bytes that the kernel has not taken yet."""
+        return 0 if self.closed else self._transport.get_write_buffer_size()
+
     def write_before(self, data: bytes) -> None:
         """Write bytes ahead of the responses that are due."""
         if not self.closed:
@@ -327,6 +332,11 @@
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
 
+    @property
+    def unwritten_bytes(self) -> int:
+        """Return the bytes of responses that connections have not taken yet."""
+        return sum(conn.unwritten_bytes for conn in self.connections)
+
     async def start(self, address: tuple[str, int]) -> tuple[str, int]:
         """Start listening and return the bound address."""
         loop = asyncio.get_running_loop()
--- a/dogwooddock/mesh/ingress.py
+++ b/dogwooddock/mesh/ingress.py
@@ -17,6 +17,7 @@
 from ..policy.outcomes import Outcome, Reason
 from ..policy.quarantine import Quarantine, QuarantineStatus, fingerprint
 from ..policy.retryallowance import RetryAllowance
+from ..policy.shutdown import Shutdown
 from .admissionlevels import AdmissionLevels
 from .authentication import Authentication
 from .calls import MeshCall, MeshReply
@@ -79,6 +80,8 @@
         rng: Random source of the jitter of Retry-After delays.
         proofs: Tells whether the configuration is recent enough for API keys; None if
             it need not be.
+
+    ``shutdown`` decides what is still taken, once the node stops.
     """
 
     def __init__(
@@ -103,6 +106,7 @@
         self._quarantine = quarantine
         self._quotas = quotas
         self._ranks = AccountRanks()
+        self.shutdown: Shutdown | None = None
         self.in_flight = 0
         self.counts = RequestCounts()
         self._errors = ErrorResponses(
@@ -124,6 +128,9 @@
         if caller is None:
             return
         pending = self._create_pending(exchange, caller)
+        if not self._admits(pending):
+            self._give_up(pending, Reason.DRAINING)
+            return
         account = pending.account
         if account is None or not account.rate_per_s:
             self._begin(pending)
@@ -137,6 +144,13 @@
             )
         )
 
+    def _admits(self, pending: PendingRequest) -> bool:
+        """Report whether a stopping node still takes a request."""
+        if self.shutdown is None or pending.parent is not None:
+            return True
+        wait_s = pending.call.deadline - pending.arrived_at
+        return self.shutdown.admits(pending.arrived_at, wait_s)
+
     def _identify(self, exchange: Exchange) -> _Caller | None:
         """Return who sent a request on which route; None if it was refused."""
         table = self._config.table
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -5,7 +5,6 @@
 import asyncio
 import gc
 import signal
-import time
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, replace
 from functools import partial
@@ -32,6 +31,7 @@
 from ..policy.quarantine import Mark
 from ..policy.retryallowance import RetryAllowance
 from ..policy.retryroom import RetryRoom
+from ..policy.shutdown import Shutdown, UnfinishedWork
 from ..policy.turnedaway import TurnedAwayShares
 from .announcer import Announcer
 from .calls import NodeRecord, StateUpdate
@@ -55,11 +55,9 @@
 from .wireformat import HeaderFormat
 from .zonerows import ZoneRows
 
-DRAIN_LISTEN_MARGIN_S = 0.1
-GATE_STOP_LEAD_S = 0.7
 NON_READER_FANOUT = 3
 MAX_PUSHED_RECORDS = 32
-EXIT_MARGIN_S = 0.6
+STOP_POLL_S = 0.02
 SYNC_PERIOD_S = 1.0
 MAINTENANCE_PERIOD_S = 1.0
 JOB_RESTART_DELAY_S = 1.0
@@ -228,32 +226,25 @@
         log.info("node_started", node=env.name, zone=env.zone, pool=env.pool)
 
     async def stop(self) -> None:
-        """Drain callers, finish requests in flight and stop.
-
-        The target stays healthy, so the gate keeps accepting calls for most of the
-        drain period. It stops GATE_STOP_LEAD_S before the end, so that its last
-        calls finish while the node is waiting for the last requests of callers anyway.
-        """
-        started = time.monotonic()
-        bounds = self.env.bounds
-        deadline = started + bounds.grace_s - EXIT_MARGIN_S
-        listen_until = started + bounds.drain_s + DRAIN_LISTEN_MARGIN_S
-        gate_until = listen_until - GATE_STOP_LEAD_S
+        """Drain callers, finish what was taken, write the answers and stop."""
+        shutdown = Shutdown(
+            self._loop.time(), self.env.bounds.drain_s, self.env.bounds.grace_s
+        )
         log.info("node_draining", in_flight=self.ingress.in_flight)
+        self.ingress.shutdown = shutdown
         caller_server = self.listeners.caller_server
         caller_server.draining = True
-        while time.monotonic() < deadline:
-            await asyncio.sleep(0.02)
-            if not self.gate.stopping and time.monotonic() >= gate_until:
+        while not shutdown.may_exit(self._loop.time(), self._unfinished_work()):
+            await asyncio.sleep(STOP_POLL_S)
+            now = self._loop.time()
+            if not self.gate.stopping and not shutdown.gate_takes_calls(now):
                 self.gate.stopping = True
                 self.links.broadcast(self.probe(reply=True))
-            if self.gate.busy or time.monotonic() < listen_until:
-                continue  # Requests that the target runs may still make calls.
-            if not caller_server.closing_idle:
+            if caller_server.closing_idle:
+                continue
+            if shutdown.closes_listener(now, self._unfinished_work()):
                 caller_server.close_idle()
                 caller_server.stop_listening()
-            if not self.ingress.in_flight:
-                break
         self.listeners.stop()
         for task in self._tasks:
             task.cancel()
@@ -261,7 +252,17 @@
         self.fleet.close()
         self.gate.connections.close()
         self._platform.store.close()
-        log.info("node_stopped", in_flight=self.ingress.in_flight)
+        work = self._unfinished_work()
+        log.info(
+            "node_stopped", in_flight=work.requests, unwritten=work.unwritten_bytes
+        )
+
+    def _unfinished_work(self) -> UnfinishedWork:
+        return UnfinishedWork(
+            self.gate.busy,
+            self.ingress.in_flight,
+            self.listeners.caller_server.unwritten_bytes,
+        )
 
     def reload(self) -> None:
         """Read the settings again; keep the current ones if the new ones are invalid.
--- /dev/null
+++ b/tests/test_mesh_stop.py
@@ -0,0 +1,127 @@
+"""Nodes that stop while requests run, arrive and are answered.
+
+Guards against requests that a stopping node takes and leaves without an answer, and
+against answers that are cut off.
+"""
+
+import asyncio
+import socket
+
+import pytest
+
+from bench.mesh_standin import TargetMode
+
+from .mesh_helpers import is_lost, route_entry, running_fleet
+from .virtual_time import run
+
+GRACE_S = 6.0
+DRAIN_S = 2.0
+# From here on, a request that was taken must be answered.
+EXEMPT_S = 3.0
+PERIOD_S = 0.1
+BOUNDS = {"grace_s": GRACE_S, "drain_s": DRAIN_S}
+
+
+async def _ask(vm, path, name, wait_ms, results):
+    loop = asyncio.get_running_loop()
+    sent_at = loop.time()
+    try:
+        answer = await vm.send_request(path, name, wait_ms=wait_ms)
+    except OSError:
+        return  # Not connected any more.
+    results[name] = (sent_at, answer)
+
+
+@pytest.mark.parametrize("work_s", [0.1, 0.9])
+@pytest.mark.parametrize("wait_ms", [1200, 5000])
+def test_requests_during_a_stop_beside_a_busy_target_are_answered(work_s, wait_ms):
+    """The local target runs a long request; the callers of the node go on."""
+
+    async def scenario():
+        async with running_fleet("shop", "stock", bounds=BOUNDS) as fleet:
+            shop, stock = fleet.vms
+            shop.target.mode = TargetMode(work_s=4.5)
+            stock.target.mode = TargetMode(work_s=work_s)
+            stock.target.slots = 1000
+            loop = asyncio.get_running_loop()
+            stopped_at = loop.time()
+            stopping = asyncio.create_task(shop.node.stop())
+            results = {}
+            tasks = []
+            while not stopping.done():
+                after_s = loop.time() - stopped_at
+                if after_s >= 0.8 and not any(n.startswith("long") for n in results):
+                    results.setdefault("long", None)
+                    tasks.append(
+                        asyncio.create_task(
+                            _ask(stock, "/read/1", "long-1", 6000, results)
+                        )
+                    )
+                name = f"short-{len(tasks)}"
+                asking = _ask(shop, "/stock/1", name, wait_ms, results)
+                tasks.append(asyncio.create_task(asking))
+                await asyncio.sleep(PERIOD_S)
+            stopped_s = loop.time() - stopped_at
+            for server in shop.node.listeners.servers:
+                for conn in list(server.connections):
+                    conn.abort()
+            await asyncio.gather(*tasks)
+            del results["long"]
+            ran = {seen.request_id for seen in fleet.runs}
+            lost = [n for n, (_, answer) in results.items() if is_lost(answer)]
+            assert [name for name in lost if name in ran] == []
+            for name, (sent_at, answer) in results.items():
+                if is_lost(answer):
+                    continue
+                assert answer.status in (200, 503), (name, sent_at - stopped_at)
+                assert answer.status == 200 or name not in ran
+            assert results["long-1"][1].status == 200
+            assert stopped_s < GRACE_S
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("body_bytes", [400_000, 3_000_000])
+def test_answers_to_slow_readers_are_whole_after_a_stop(body_bytes):
+    """The reader takes about 1 MB a second, over a small receive buffer."""
+    routes = [
+        route_entry("read", "shop", "/read/", timeout="5000ms"),
+        route_entry("stock", "stock", "/stock/", timeout="5000ms"),
+    ]
+
+    async def scenario():
+        async with running_fleet(
+            "shop", "stock", routes=routes, bounds=BOUNDS
+        ) as fleet:
+            shop, stock = fleet.vms
+            stock.target.mode = TargetMode(body_bytes=body_bytes)
+            loop = asyncio.get_running_loop()
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16 * 1024)
+            # Segments of an Ethernet, so that the kernel holds little of the answer.
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1448)
+            sock.setblocking(False)
+            await loop.sock_connect(sock, shop.env.caller_listen)
+            stopping = asyncio.create_task(shop.node.stop())
+            await asyncio.sleep(1.0)
+            request = (
+                b"GET /stock/1 HTTP/1.1\r\nHost: app.example\r\n"
+                b"Dogwooddock-Request-Id: slow\r\n\r\n"
+            )
+            await loop.sock_sendall(sock, request)
+            received = b""
+            while len(received) < body_bytes:
+                data = await loop.sock_recv(sock, 32 * 1024)
+                if not data:
+                    break
+                received += data
+                await asyncio.sleep(0.03)
+                if stopping.done():
+                    for conn in list(shop.node.listeners.caller_server.connections):
+                        conn.abort()  # The process has ended.
+            sock.close()
+            await stopping
+            body = received.partition(b"\r\n\r\n")[2]
+            assert len(body) >= body_bytes - 512
+
+    run(scenario())
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,59 @@
+"""What a stopping node takes, and when it exits."""
+
+import pytest
+
+from dogwooddock.policy.shutdown import Shutdown, UnfinishedWork
+
+DRAIN_S = 2.0
+GRACE_S = 6.0
+IDLE = UnfinishedWork(False, 0, 0)
+BUSY_GATE = UnfinishedWork(True, 0, 0)
+ANSWERING = UnfinishedWork(False, 1, 0)
+WRITING = UnfinishedWork(False, 0, 1)
+
+
+@pytest.mark.parametrize(
+    ("after_s", "wait_s", "admitted"),
+    [
+        (0.0, 60.0, True),
+        (DRAIN_S, 60.0, True),
+        (3.0, 1.0, True),
+        (3.0, 3.5, False),
+        (4.5, 1.2, False),
+        (5.9, 0.01, False),
+    ],
+)
+def test_only_requests_that_end_in_time_are_taken_after_the_drain(
+    after_s, wait_s, admitted
+):
+    shutdown = Shutdown(100.0, DRAIN_S, GRACE_S)
+    assert shutdown.admits(100.0 + after_s, wait_s) is admitted
+
+
+@pytest.mark.parametrize(
+    ("after_s", "work", "closes", "exits"),
+    [
+        (0.0, IDLE, False, False),
+        (DRAIN_S, IDLE, False, False),
+        (2.5, IDLE, True, True),
+        (2.5, BUSY_GATE, False, False),
+        (2.5, ANSWERING, True, False),
+        (2.5, WRITING, True, False),
+        (GRACE_S, BUSY_GATE, False, True),
+        (GRACE_S, ANSWERING, True, True),
+    ],
+)
+def test_process_exits_when_all_is_done_or_the_grace_period_ends(
+    after_s, work, closes, exits
+):
+    shutdown = Shutdown(100.0, DRAIN_S, GRACE_S)
+    now = 100.0 + after_s
+    assert shutdown.closes_listener(now, work) is closes
+    assert shutdown.may_exit(now, work) is exits
+
+
+@pytest.mark.parametrize("grace_s", [0.1, 1.0, 2.0])
+def test_grace_shorter_than_the_drain_leaves_time_to_answer(grace_s):
+    shutdown = Shutdown(0.0, DRAIN_S, grace_s)
+    assert shutdown.may_exit(grace_s, BUSY_GATE)
+    assert not shutdown.admits(grace_s, 1.0)
