Apply new size limits from the next request of open connections on

Cause: a connection gave its parser the limits of the moment at which it was opened. Change: each connection takes the present ones before the first bytes of a request.

Evidence: test_new_limits_hold_for_the_next_request_of_an_open_connection failed in its 4 cases and passes.

--- a/dogwooddock/http1/server.py
+++ b/dogwooddock/http1/server.py
@@ -146,6 +146,9 @@
             return
         self._last_activity_at = self._loop.time()
         parser = self._parser
+        if not parser.in_message:
+            parser.max_header_bytes = self._server.limits.max_header_bytes
+            parser.max_body_bytes = self._server.limits.max_body_bytes
         was_dropping = parser.drops_body
         parser.refuses_head = self._refuses_head if self._server.head_check else None
         error = None
@@ -314,7 +317,8 @@
 
     Args:
         handler: Called with each exchange on the event loop; must not block.
-        limits: Size limits and timeouts of connections.
+        limits: Size limits and timeouts of connections; new ones hold from the next
+            request of each connection on.
 
     ``head_check``, if set, is called on the event loop with each request that has a
     body, before the body is received. If it answers the request, the handler is not
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -206,3 +206,30 @@
             assert await server.response() == (200, b"ok", False)
 
     run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "status"),
+    [
+        (ServerLimits(max_body_bytes=1000), ServerLimits(max_body_bytes=2000), 200),
+        (ServerLimits(max_body_bytes=2000), ServerLimits(max_body_bytes=1000), 413),
+        (ServerLimits(max_header_bytes=40), ServerLimits(max_header_bytes=400), 200),
+        (ServerLimits(max_header_bytes=400), ServerLimits(max_header_bytes=40), 431),
+    ],
+)
+def test_new_limits_hold_for_the_next_request_of_an_open_connection(
+    before, after, status
+):
+    async def scenario():
+        async with Server(has_check=False) as server:
+            server._http.limits = before
+            server.writer.close()
+            address = server._http._server.sockets[0].getsockname()
+            server.reader, server.writer = await asyncio.open_connection(*address)
+            await server.send(GET)
+            assert (await server.response())[0] == 200
+            server._http.limits = after
+            await server.send(head("post", BIG_BYTES, "X-Long: " + "y" * 60) + BIG)
+            assert (await server.response())[0] == status
+
+    run(scenario())
