Keep the line of a malformed record short

A record that fails its validation has an error of several lines; the log has one bounded line for each event. Found while reading the whole change; nothing failed before.

--- a/dogwooddock/http1/server.py
+++ b/dogwooddock/http1/server.py
@@ -109,7 +109,7 @@
         self._conn.write_raw(self, data, close, reset)
 
     def write_before(self, data: bytes) -> None:
-        """Write unframed bytes before the response, as faulty servers do."""
+        """Write unframed bytes before the response; used by simulated servers."""
         self._conn.write_before(data)
 
 
--- a/dogwooddock/mesh/memberrows.py
+++ b/dogwooddock/mesh/memberrows.py
@@ -14,6 +14,8 @@
 from .recordrows import MalformedRecord, decode_marks, decode_record
 from .rows import Row, RowStore
 
+MAX_LOGGED_CHARS = 200
+
 log = structlog.get_logger()
 
 
@@ -71,7 +73,8 @@
                 self._add_record(row, merged)
                 marks += decode_marks(row.value)
             except MalformedRecord as exc:
-                log.warning("record_malformed", key=row.key, error=str(exc))
+                cause = " ".join(str(exc).split())[:MAX_LOGGED_CHARS]
+                log.warning("record_malformed", key=row.key[:80], error=cause)
         self._merge_records(merged.earlier + merged.later)
         if version:
             changed = [record.address for record in merged.later]
