Follow changes from the first page on when a table is read in several

A row that changed after the first page of a read and before the last was never seen, until it changed again (by reading, in the review).

Cause: the version of the last page was taken for all. Change: the lowest version of the pages, from which the feed gives the later changes again.

--- a/dogwooddock/platform/store.py
+++ b/dogwooddock/platform/store.py
@@ -114,8 +114,13 @@
         return self._pool.opened
 
     async def read(self, table: str, part: str) -> RowPage:
-        """Return all rows of a part of a table, read in pages."""
+        """Return all rows of a part of a table, read in pages.
+
+        Its version is the lowest of the pages: rows of an early page may have changed
+        before a later one was read.
+        """
         rows: list[Row] = []
+        versions: list[int] = []
         start = ""
         while True:
             query = {"table": table, "part": part, "limit": PAGE_ROWS}
@@ -124,8 +129,9 @@
             body = await self._get("/rows-get", query)
             page = _parse_rows(body)
             rows.extend(page)
+            versions.append(_parse_version(body))
             if not body.get("has_more") or not page:
-                return RowPage(tuple(rows), _parse_version(body))
+                return RowPage(tuple(rows), min(versions))
             start = rows[-1].key + "\0"
 
     async def parts(self, table: str) -> list[str]:
