Deliver answers and requests whose headers hold a number too large

A complete answer of a target with Keep-Alive: timeout= and some hundred digits was lost: the caller waited until its deadline and got 504. A request with such a deadline was answered 502, though nothing was wrong with it otherwise.

Cause: the number was converted without a bound; the error came after the request's result was taken off the connection, so that nobody was told. Change: only so many digits are read as any use could need.

Evidence: test_number_too_large_in_a_header_costs_no_answer failed in 4 of 6 cases and passes.

--- a/bench/mesh_standin.py
+++ b/bench/mesh_standin.py
@@ -224,6 +224,7 @@
         limit_in_refusals: Whether refusals name the limit as well.
         leaving: Whether its answers say that it leaves.
         body_bytes: Size of the bodies of its answers; 0 for a digest of the request.
+        keep_alive: Seconds that its answers name in Keep-Alive; empty for none.
         work_by_path: Service times of the paths that start so, in seconds.
     """
 
@@ -246,6 +247,7 @@
     limit_in_refusals: bool = True
     leaving: bool = False
     body_bytes: int = 0
+    keep_alive: str = ""
     work_by_path: tuple[tuple[str, float], ...] = ()
 
     def service_s(self, path: str) -> float:
@@ -515,6 +517,8 @@
         block = f"Dogwooddock-Request-Id: {request_id}\r\n"
         if self.mode.rate_limit and names_limit:
             block += f"Server-Limit: {self.mode.rate_limit}\r\n"
+        if self.mode.keep_alive:
+            block += f"Keep-Alive: timeout={self.mode.keep_alive}\r\n"
         if self.mode.leaving:
             block += "Server-Leaving: 1\r\n"
         if stamp:
--- a/dogwooddock/http1/client.py
+++ b/dogwooddock/http1/client.py
@@ -17,6 +17,8 @@
 # Idle connections are reused only for this fraction of the server's keep-alive
 # timeout; later, the server could close one while a request is on its way.
 KEEP_ALIVE_FRACTION = 0.7
+# A longer number is cut to its first digits; it is beyond any use.
+MAX_KEEP_ALIVE_DIGITS = 9
 CONNECT_TIMEOUT_S = 1.0
 
 
@@ -200,7 +202,8 @@
         for parameter in response.fields.get(b"keep-alive", b"").split(b","):
             name, _, value = parameter.strip().partition(b"=")
             if name.lower() == b"timeout" and value.isdigit():
-                self._idle_limit_s = int(value) * KEEP_ALIVE_FRACTION
+                timeout_s = int(value[:MAX_KEEP_ALIVE_DIGITS])
+                self._idle_limit_s = timeout_s * KEEP_ALIVE_FRACTION
 
     def fail(self, cause: str) -> None:
         """Close the connection and fail its request, whose response is unusable."""
--- a/dogwooddock/platform/headers.py
+++ b/dogwooddock/platform/headers.py
@@ -32,6 +32,8 @@
 _SET_WITH_ACCOUNTS = _SET_BY_NODES | {API_KEY, ACCOUNT}
 _NO_HEADERS: frozenset[bytes] = frozenset()
 # A rate limit of a million or more does not match and counts as no limit.
+# A longer number is cut to its first digits; each route has a shorter timeout.
+MAX_DEADLINE_DIGITS = 12
 _RATE = re.compile(rb"\d{1,6}(\.\d{0,12})?")
 
 
@@ -49,7 +51,7 @@
         if deadline_ms is not None:
             if not deadline_ms.isdigit():
                 raise FormatError("the deadline is no whole number of milliseconds")
-            wait_s = int(deadline_ms) / 1000
+            wait_s = int(deadline_ms[:MAX_DEADLINE_DIGITS]) / 1000
         host = fields.get(b"host", b"").decode("latin-1")
         api_keys: tuple[bytes, ...] = ()
         if API_KEY in fields:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -9,8 +9,10 @@
 
 import pytest
 
+from bench.mesh_standin import TargetMode
 from dogwooddock.errors import DogwooddockError
-from dogwooddock.http1.messages import Response
+from dogwooddock.http1.client import ConnectionPool
+from dogwooddock.http1.messages import Response, render_request
 from dogwooddock.mesh.calls import StateUpdate
 from dogwooddock.mesh.recordrows import decode_marks, decode_record
 from dogwooddock.mesh.rows import Change, StoreUncertain
@@ -31,6 +33,7 @@
     send_first_heartbeat,
     send_request,
     start_vm,
+    status_of,
     wait_until,
 )
 from .virtual_time import run
@@ -204,3 +207,28 @@
 
     run(scenario())
     assert "job_failed" not in capsys.readouterr().out
+
+
+DIGITS = ["9" * 12, "9" * 400, "9" * 5000]
+
+
+@pytest.mark.parametrize("digits", DIGITS, ids=["12", "400", "5000"])
+@pytest.mark.parametrize("field", ["keep-alive", "deadline"])
+def test_number_too_large_in_a_header_costs_no_answer(field, digits):
+    """Of the target's answer, or of the caller's request."""
+
+    async def scenario():
+        async with running_fleet("shop", "stock") as fleet:
+            headers = b""
+            if field == "keep-alive":
+                fleet.vms[0].target.mode = TargetMode(keep_alive=digits)
+            else:
+                headers = f"Dogwooddock-Deadline-Ms: {digits}\r\n".encode()
+            address = fleet.vms[1].env.caller_listen
+            conn = await ConnectionPool(address).open()
+            block = b"Host: app.example\r\nDogwooddock-Request-Id: req-1\r\n" + headers
+            answer = await conn.exchange(render_request(b"GET", b"/read/1", block, b""))
+            conn.close()
+            assert status_of(answer) == 200
+
+    run(scenario())
