Let callers read the last answer of a connection that the node closes

What callers saw: a client that had begun to send its next request when the node closed the connection behind an answer got a reset, and could lose the answer that was on its way. A stopping node did that to clients that pipeline.

Cause: the server closed the socket as soon as the answer was handed to it. A socket that is closed with unread data, or that gets more, is reset.

Change: the server ends its side of the stream, discards what the client still sends, and closes when the client does, at most a second after the answer. The same holds for idle connections that a stopping node closes.

--- a/dogwooddock/http1/server.py
+++ b/dogwooddock/http1/server.py
@@ -18,6 +18,8 @@
 MAX_PIPELINED_REQUESTS = 64
 SWEEP_PERIOD_S = 0.5
 SLOW_READER_TIMEOUT_S = 10.0
+# Time in which a client closes a connection after its last response.
+LINGER_S = 1.0
 WRITE_HIGH_WATER_BYTES = 256 * 1024
 LISTEN_BACKLOG = 1024
 RESET_DELAY_S = 0.01
@@ -126,6 +128,7 @@
         self._refused: deque[Exchange] = deque()
         self._write_paused_at: float | None = None
         self._input_closed = False
+        self._lingering = False
         self._loop = asyncio.get_running_loop()
         self._last_activity_at = self._loop.time()
         self._transport: asyncio.Transport
@@ -239,7 +242,19 @@
         A client whose connection is closed while it sends may lose the response.
         """
         if self._input_closed and not self._pending and not self._parser.drops_body:
-            self._transport.close()
+            self._linger()
+
+    def _linger(self) -> None:
+        """End the responses, and discard what the client still sends until it closes.
+
+        A close with unread data resets the connection, and the client could lose the
+        response.
+        """
+        if self._lingering or self.closed or self._transport.is_closing():
+            return
+        self._input_closed = self._lingering = True
+        self._transport.write_eof()
+        self._transport.resume_reading()
 
     def write_raw(
         self, exchange: Exchange, data: bytes, close: bool, reset: bool
@@ -281,6 +296,8 @@
     def resume_writing(self) -> None:
         self._write_paused_at = None
         self._transport.resume_reading()
+        if self._server.closing_idle:
+            self.sweep(self._loop.time())
 
     def eof_received(self) -> bool:
         return False
@@ -295,6 +312,11 @@
 
     def sweep(self, now: float) -> None:
         """Apply the timeouts, and close an idle connection while draining."""
+        if self._lingering:
+            limit_s = SLOW_READER_TIMEOUT_S if self.unwritten_bytes else LINGER_S
+            if now - self._last_activity_at > limit_s:
+                self._transport.abort()
+            return
         if self._write_paused_at is not None:
             if now - self._write_paused_at > SLOW_READER_TIMEOUT_S:
                 self._transport.abort()
@@ -307,7 +329,8 @@
             if idle_s > limits.header_timeout_s:
                 self._reject(HttpError(408, "the request is incomplete; resend it"))
         elif idle_s > limits.idle_timeout_s or self._server.closing_idle:
-            self._transport.close()
+            self._last_activity_at = now
+            self._linger()
 
 
 class HttpServer:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -233,3 +233,37 @@
             assert (await server.response())[0] == status
 
     run(scenario())
+
+
+@pytest.mark.parametrize("part_bytes", [1, len(GET) - 1])
+@pytest.mark.parametrize("pause_s", [0.0, 0.3])
+def test_response_that_closes_reaches_a_client_that_still_sends(part_bytes, pause_s):
+    """The client writes the rest of its next request after the server has closed."""
+
+    async def scenario():
+        async with Server(has_check=False) as server:
+            server._http.draining = True
+            await server.send(GET)
+            await asyncio.sleep(pause_s)
+            await server.send(GET[:part_bytes])
+            await server.send(GET[part_bytes:])
+            await server.send(GET)
+            assert await server.response() == (200, b"ok", True)
+            assert await server.is_closed()
+
+    run(scenario())
+
+
+def test_connection_of_a_client_that_sends_on_after_the_close_is_ended():
+    async def scenario():
+        async with Server(has_check=False) as server:
+            server._http.draining = True
+            await server.send(GET)
+            assert await server.response() == (200, b"ok", True)
+            loop = asyncio.get_running_loop()
+            until = loop.time() + 3.0
+            while server._http.connections and loop.time() < until:
+                await server.send(b"x")
+            assert not server._http.connections
+
+    run(scenario())
