Answer what a stopping node cannot finish, and give targets no more time than it has

What callers saw, in a planned stop in calm: calls of runs of the node's own target that came late in the grace period were taken, passed on and cut with the exit, among them calls that must not be repeated; and requests that outlasted the grace period ended with their connection and no answer.

Cause: calls of runs were always taken, whatever time was left; targets got the caller's deadline also where the node ended before it; and the node left what it had not finished.

Change: Shutdown limits the deadline of each request that is taken after the signal, so that targets give up in time for their answer, takes no call of a run that cannot end, and tells when the requests that are left are answered by the node itself: not run if that is so, unknown otherwise. Calls that still wait at the gate are refused then, so that their nodes send them elsewhere. Connections are closed behind answers from the end of the drain on, not during it, in which every request is taken. The stop of a node has a module of its own, mesh/shutdown.py.

--- a/dogwooddock/mesh/gate.py
+++ b/dogwooddock/mesh/gate.py
@@ -60,7 +60,7 @@
         self.chains = chains or ChainAdmission.disabled()
         self.accounts: AccountTable | None = None
         self.served = ServedTarget(
-            node_id, marks, self.admission.rate, self._refuse_waiting
+            node_id, marks, self.admission.rate, self.refuse_waiting
         )
         self.connections = self.served.connections
         self.losses = self.served.losses
@@ -68,7 +68,7 @@
             wire,
             self.served,
             marks,
-            self._refuse_waiting,
+            self.refuse_waiting,
             self._release,
             lambda gate_call, reply: self._finish(gate_call, reply),
         )
@@ -111,7 +111,8 @@
         """Accept no more calls; waiting calls are refused, running ones continue."""
         self.served.withdraw()
 
-    def _refuse_waiting(self, reason: Reason) -> None:
+    def refuse_waiting(self, reason: Reason) -> None:
+        """Refuse the calls that wait; running ones continue."""
         for held in self._suspects.take_held():
             self._refuse(held, reason)
         for waiting in self.admission.drop_all():
--- a/dogwooddock/mesh/ingress.py
+++ b/dogwooddock/mesh/ingress.py
@@ -107,7 +107,7 @@
         self._quotas = quotas
         self._ranks = AccountRanks()
         self.shutdown: Shutdown | None = None
-        self.in_flight = 0
+        self._pending: set[PendingRequest] = set()
         self.counts = RequestCounts()
         self._errors = ErrorResponses(
             wire, config, self.counts, gate.chains.reported, quotas, rng
@@ -116,6 +116,11 @@
         self._levels = AdmissionLevels(fleet.levels, fleet.pool_levels, gate.chains)
         self._resends = Resends(fleet, retries, self.counts, gate.chains)
 
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests that are not answered."""
+        return len(self._pending)
+
     # Arrival.
 
     def check_head(self, exchange: Exchange) -> None:
@@ -145,11 +150,26 @@
         )
 
     def _admits(self, pending: PendingRequest) -> bool:
-        """Report whether a stopping node still takes a request."""
-        if self.shutdown is None or pending.parent is not None:
+        """Report whether a stopping node still takes a request, and limit its time."""
+        if self.shutdown is None:
             return True
-        wait_s = pending.call.deadline - pending.arrived_at
-        return self.shutdown.admits(pending.arrived_at, wait_s)
+        now, call = pending.arrived_at, pending.call
+        if pending.parent is not None:
+            admitted = self.shutdown.admits_call(now)
+        else:
+            admitted = self.shutdown.admits(now, call.deadline - now)
+        if admitted:
+            self._set_deadline(pending, self.shutdown.limit_deadline(call.deadline))
+        return admitted
+
+    def _set_deadline(self, pending: PendingRequest, deadline: float) -> None:
+        """Set the time at which targets give a request up."""
+        if pending.timer is not None:
+            pending.timer.cancel()
+        pending.call.deadline = deadline
+        pending.timer = self._loop.call_at(
+            deadline + ANSWER_GRACE_S, self._time_out, pending
+        )
 
     def _identify(self, exchange: Exchange) -> _Caller | None:
         """Return who sent a request on which route; None if it was refused."""
@@ -211,11 +231,9 @@
         )
         pending = PendingRequest(exchange, call, route, pool, now, parent)
         pending.account = account
-        self.in_flight += 1
+        self._pending.add(pending)
         exchange.on_disconnect = lambda: self._on_disconnect(pending)
-        pending.timer = self._loop.call_at(
-            call.deadline + ANSWER_GRACE_S, self._time_out, pending
-        )
+        self._set_deadline(pending, call.deadline)
         if parent is not None:
             parent.queued.made_calls = True
             self._gate.chains.record_call(
@@ -353,6 +371,12 @@
         self._cancel_outbound(pending)
         self._give_up(pending, Reason.DEADLINE)
 
+    def give_up_all(self, reason: Reason) -> None:
+        """Respond to every request that is left, before the process exits."""
+        for pending in list(self._pending):
+            self._cancel_outbound(pending)
+            self._give_up(pending, reason)
+
     def _cancel_outbound(self, pending: PendingRequest) -> None:
         outbound, pending.outbound = pending.outbound, None
         if outbound is not None:
@@ -369,7 +393,7 @@
         self, pending: PendingRequest, outcome: Outcome, reason: Reason, succeeded: bool
     ) -> None:
         pending.done = True
-        self.in_flight -= 1
+        self._pending.discard(pending)
         if pending.account is not None:
             self.counts.accounts.record(pending.account.name, outcome.value)
             never_sent = outcome is Outcome.UNKNOWN and not pending.tried
@@ -381,8 +405,9 @@
         if pending.parent is not None and not succeeded:
             pending.parent.downstream_failed = True
         route = pending.route.name
+        now = self._loop.time()
         self.counts.record(route, outcome, reason)
-        self.counts.latency.observe(route, self._loop.time() - pending.arrived_at)
+        self.counts.latency.observe(route, now - pending.arrived_at)
 
 
 def _account_name(parent: GateCall | None, account: ClientAccount | None) -> str:
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -31,7 +31,6 @@
 from ..policy.quarantine import Mark
 from ..policy.retryallowance import RetryAllowance
 from ..policy.retryroom import RetryRoom
-from ..policy.shutdown import Shutdown, UnfinishedWork
 from ..policy.turnedaway import TurnedAwayShares
 from .announcer import Announcer
 from .calls import NodeRecord, StateUpdate
@@ -50,6 +49,7 @@
 from .quotas import Quotas
 from .routing import DesiredState
 from .rows import Row, RowStore
+from .shutdown import NodeShutdown
 from .statesync import StateSync
 from .storereader import StoreReader
 from .wireformat import HeaderFormat
@@ -57,7 +57,6 @@
 
 NON_READER_FANOUT = 3
 MAX_PUSHED_RECORDS = 32
-STOP_POLL_S = 0.02
 SYNC_PERIOD_S = 1.0
 MAINTENANCE_PERIOD_S = 1.0
 JOB_RESTART_DELAY_S = 1.0
@@ -227,24 +226,13 @@
 
     async def stop(self) -> None:
         """Drain callers, finish what was taken, write the answers and stop."""
-        shutdown = Shutdown(
-            self._loop.time(), self.env.bounds.drain_s, self.env.bounds.grace_s
-        )
-        log.info("node_draining", in_flight=self.ingress.in_flight)
-        self.ingress.shutdown = shutdown
-        caller_server = self.listeners.caller_server
-        caller_server.draining = True
-        while not shutdown.may_exit(self._loop.time(), self._unfinished_work()):
-            await asyncio.sleep(STOP_POLL_S)
-            now = self._loop.time()
-            if not self.gate.stopping and not shutdown.gate_takes_calls(now):
-                self.gate.stopping = True
-                self.links.broadcast(self.probe(reply=True))
-            if caller_server.closing_idle:
-                continue
-            if shutdown.closes_listener(now, self._unfinished_work()):
-                caller_server.close_idle()
-                caller_server.stop_listening()
+        await NodeShutdown(
+            self.env,
+            self.gate,
+            self.ingress,
+            self.listeners.caller_server,
+            self._broadcast_draining,
+        ).run()
         self.listeners.stop()
         for task in self._tasks:
             task.cancel()
@@ -252,17 +240,11 @@
         self.fleet.close()
         self.gate.connections.close()
         self._platform.store.close()
-        work = self._unfinished_work()
-        log.info(
-            "node_stopped", in_flight=work.requests, unwritten=work.unwritten_bytes
-        )
+        log.info("node_stopped")
 
-    def _unfinished_work(self) -> UnfinishedWork:
-        return UnfinishedWork(
-            self.gate.busy,
-            self.ingress.in_flight,
-            self.listeners.caller_server.unwritten_bytes,
-        )
+    def _broadcast_draining(self) -> None:
+        """Tell peers that the gate takes no more calls."""
+        self.links.broadcast(self.probe(reply=True))
 
     def reload(self) -> None:
         """Read the settings again; keep the current ones if the new ones are invalid.
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -10,6 +10,7 @@
 import pytest
 
 from bench.mesh_standin import TargetMode
+from dogwooddock.policy.outcomes import RETRY_INVITING_STATUSES
 
 from .mesh_helpers import is_lost, route_entry, running_fleet
 from .virtual_time import run
@@ -81,6 +82,93 @@
     run(scenario())
 
 
+async def _stop(vm):
+    """Stop a node, and end its connections as its process would."""
+    loop = asyncio.get_running_loop()
+    began_at = loop.time()
+    await vm.node.stop()
+    for server in vm.node.listeners.servers:
+        for conn in list(server.connections):
+            conn.abort()
+    return loop.time() - began_at
+
+
+@pytest.mark.parametrize("work_s", [0.05, 0.9])
+def test_late_calls_of_the_local_target_are_answered_before_the_exit(work_s):
+    """The run that makes them began in the drain and lasts beyond the grace period."""
+
+    async def scenario():
+        async with running_fleet("shop", "stock", bounds=BOUNDS) as fleet:
+            shop, stock = fleet.vms
+            shop.target.mode = TargetMode(work_s=7.0)
+            stock.target.mode = TargetMode(work_s=work_s)
+            results = {}
+            run = asyncio.create_task(_ask(stock, "/read/1", "run", 8000, results))
+            await asyncio.sleep(0.1)
+            stopping = asyncio.create_task(_stop(shop))
+            tasks = []
+            while not stopping.done():
+                asking = _ask(shop, "/stock/1", f"run.{len(tasks)}", 2000, results)
+                tasks.append(asyncio.create_task(asking))
+                await asyncio.sleep(PERIOD_S)
+            await asyncio.gather(run, *tasks)
+            ran = {seen.request_id for seen in stock.target.runs}
+            answers = {name: answer for name, (_, answer) in results.items()}
+            assert [name for name in ran if is_lost(answers[name])] == []
+            assert [
+                name for name in ran if answers[name].status in RETRY_INVITING_STATUSES
+            ] == []
+            assert await stopping < GRACE_S
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("sent_s", [-0.5, 1.0])
+def test_requests_that_outlast_the_grace_period_get_an_answer(sent_s):
+    async def scenario():
+        async with running_fleet("shop", "stock", bounds=BOUNDS) as fleet:
+            shop, stock = fleet.vms
+            stock.target.mode = TargetMode(work_s=7.5)
+            results = {}
+            asking = _ask(shop, "/stock/1", "long", 8000, results)
+            if sent_s < 0:
+                task = asyncio.create_task(asking)
+                await asyncio.sleep(-sent_s)
+                stopping = asyncio.create_task(_stop(shop))
+            else:
+                stopping = asyncio.create_task(_stop(shop))
+                await asyncio.sleep(sent_s)
+                task = asyncio.create_task(asking)
+            assert await stopping < GRACE_S
+            await task
+            _, answer = results["long"]
+            assert not is_lost(answer)
+            assert answer.status in (502, 504)
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("sent_s", [0.5, 1.5])
+def test_targets_get_no_more_time_than_a_stopping_node_has_left(sent_s):
+    async def scenario():
+        async with running_fleet("shop", "stock", bounds=BOUNDS) as fleet:
+            shop, stock = fleet.vms
+            shop.target.mode = TargetMode(work_s=5.0)
+            results = {}
+            for number in range(10):
+                await _ask(shop, "/stock/1", f"before-{number}", 8000, results)
+            run = asyncio.create_task(_ask(stock, "/read/1", "run", 8000, results))
+            await asyncio.sleep(0.1)
+            stopping = asyncio.create_task(_stop(shop))
+            await asyncio.sleep(sent_s)
+            await _ask(shop, "/stock/1", "during", 8000, results)
+            await asyncio.gather(run, stopping)
+            (seen,) = (run for run in stock.target.runs if run.request_id == "during")
+            assert seen.deadline_ms / 1000 <= GRACE_S - sent_s
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("body_bytes", [400_000, 3_000_000])
 def test_answers_to_slow_readers_are_whole_after_a_stop(body_bytes):
     """The reader takes about 1 MB a second, over a small receive buffer."""
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -10,6 +10,7 @@
 BUSY_GATE = UnfinishedWork(True, 0, 0)
 ANSWERING = UnfinishedWork(False, 1, 0)
 WRITING = UnfinishedWork(False, 0, 1)
+CLOSING = UnfinishedWork(False, 0, 0, 1)
 
 
 @pytest.mark.parametrize(
@@ -30,6 +31,23 @@
     assert shutdown.admits(100.0 + after_s, wait_s) is admitted
 
 
+@pytest.mark.parametrize(
+    ("after_s", "admitted"), [(0.0, True), (5.0, True), (5.9, False)]
+)
+def test_calls_of_the_local_target_are_taken_unless_they_cannot_end(after_s, admitted):
+    shutdown = Shutdown(100.0, DRAIN_S, GRACE_S)
+    assert shutdown.admits_call(100.0 + after_s) is admitted
+
+
+@pytest.mark.parametrize("wait_s", [0.5, 60.0])
+def test_requests_get_no_more_time_than_is_left(wait_s):
+    shutdown = Shutdown(100.0, DRAIN_S, GRACE_S)
+    deadline = shutdown.limit_deadline(101.0 + wait_s)
+    assert deadline <= 101.0 + wait_s
+    assert not shutdown.gives_up(deadline)
+    assert shutdown.gives_up(100.0 + GRACE_S)
+
+
 @pytest.mark.parametrize(
     ("after_s", "work", "closes", "exits"),
     [
@@ -39,6 +57,7 @@
         (2.5, BUSY_GATE, False, False),
         (2.5, ANSWERING, True, False),
         (2.5, WRITING, True, False),
+        (2.5, CLOSING, True, False),
         (GRACE_S, BUSY_GATE, False, True),
         (GRACE_S, ANSWERING, True, True),
     ],
