Keep a node of the own interface running after a reload signal

What operators saw: SIGHUP ended `dogwooddock node` with -1 at any time, and with it all that it had taken.

Cause: the command of the own interface had no handler for SIGHUP, neither during the imports nor later. A second cause of the same class: its handlers set a threading.Event, whose lock is not reentrant, so a stop signal during the handler of another could block the main thread.

--- a/dogwooddock/operators/cli.py
+++ b/dogwooddock/operators/cli.py
@@ -8,9 +8,7 @@
 
 import getpass
 import json
-import signal
 import sys
-import threading
 from collections.abc import Callable
 from dataclasses import asdict
 from pathlib import Path
@@ -119,14 +117,13 @@
 
 def _run_node(settings: NodeSettings) -> None:
     from ..node import Node
+    from .signals import NodeSignals
 
     configure_logs(settings.log_level, name=settings.name)
-    stop = threading.Event()
-    for signum in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(signum, lambda *_: stop.set())
+    signals = NodeSignals()
     running_node = _run_or_exit(lambda: Node(settings))
     running_node.start()
-    stop.wait()
+    signals.wait_for_stop()
     running_node.stop()
 
 
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -1,4 +1,4 @@
-"""Signals that reach a node's process while it starts."""
+"""Signals that reach a node's process while it starts, serves and stops."""
 
 import signal
 import subprocess
@@ -16,15 +16,62 @@
             os.kill(os.getpid(), {signum})
 
 sys.meta_path.insert(0, Sender())
-sys.argv = ["node", "--settings", "/nonexistent/settings.json"]
-runpy.run_module("dogwooddock.platform", run_name="__main__")
+sys.argv = {argv}
+runpy.run_module({module!r}, run_name="__main__")
 """
+PLATFORM = (
+    "dogwooddock.platform",
+    ["node", "--settings", "/nonexistent/settings.json"],
+    "settings_refused",
+)
+OWN_INTERFACE = (
+    "dogwooddock",
+    ["dogwooddock", "node", "--name", "n", "--zone", "z", "--limit-mode", "none"],
+    "--limit-mode",
+)
 EXIT_INVALID_SETTINGS = 2
+NODE = [sys.executable, "-m", "dogwooddock", "node", "--name", "n", "--zone", "z"]
+STOP_LIMIT_S = 10.0
 
 
+@pytest.mark.parametrize(("module", "argv", "text"), [PLATFORM, OWN_INTERFACE])
 @pytest.mark.parametrize("library", ["structlog", "typer", "pydantic", "thrift"])
-def test_reload_signal_during_the_start_does_not_end_the_process(library):
-    code = START.format(library=library, signum=int(signal.SIGHUP))
+def test_reload_signal_during_the_start_does_not_end_the_process(
+    library, module, argv, text
+):
+    code = START.format(
+        library=library, signum=int(signal.SIGHUP), module=module, argv=argv
+    )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
     assert done.returncode == EXIT_INVALID_SETTINGS, done.stderr
-    assert "settings_refused" in done.stdout
+    assert text in done.stdout + done.stderr
+
+
+def _read_until(process, text):
+    return any(text in line for line in process.stderr)
+
+
+@pytest.mark.parametrize(
+    "signums",
+    [
+        [signal.SIGHUP, signal.SIGTERM],
+        [signal.SIGHUP, signal.SIGHUP, signal.SIGINT],
+        [signal.SIGTERM, signal.SIGHUP, signal.SIGTERM],
+    ],
+    ids=lambda signums: "-".join(signum.name for signum in signums),
+)
+def test_process_of_a_node_ends_by_stop_signals_only(signums):
+    """Guards against a reload signal that ends it, and a second signal that hangs."""
+    process = subprocess.Popen(NODE, stderr=subprocess.PIPE, text=True)
+    try:
+        assert _read_until(process, "node_started")
+        for signum in signums:
+            assert process.poll() is None
+            process.send_signal(signum)
+            if signum is signal.SIGHUP and signums[0] is signal.SIGHUP:
+                assert _read_until(process, "reload_ignored")
+        assert process.wait(STOP_LIMIT_S) == 0
+    finally:
+        process.kill()
+        process.wait()
+        process.stderr.close()
