Deliver whole answers of the own interface to callers that read slowly

Cause: the timeout of a socket applies to all of sendall, not to the pause between two parts, as Python changed it.

Change: the writer sends part by part, so the timeout bounds the silence of a reader, as the setting says.

Evidence: test_slow_reader_gets_its_whole_answer failed before (1,612,492 of 3,000,000 bytes) and passes.

--- a/dogwooddock/callers/streams.py
+++ b/dogwooddock/callers/streams.py
@@ -76,8 +76,15 @@
         return len(data)
 
     def _send(self, data: bytes) -> None:
-        self._sock.sendall(data)
-        self.bytes_written += len(data)
+        """Send data; the socket's timeout applies to each part that the reader takes.
+
+        For ``sendall`` it would apply to the whole.
+        """
+        unsent = memoryview(data)
+        while unsent:
+            sent = self._sock.send(unsent)
+            self.bytes_written += sent
+            unsent = unsent[sent:]
 
     def flush(self) -> None:
         """Do nothing; data is buffered only between ``hold`` and ``release``."""
