Stop a node of the own interface by the same rules as on the platform

A request that came late beside a busy target was passed on and cut when the process ended; one that outlasted the drain timeout got no answer; an answer that its caller read slowly was cut off.

Cause: the stop took every request until its end, counted a request as done before its reply was written, and left what was not finished.

Change: policy/shutdown.py decides here, too. The server counts requests until their connections have taken the replies; the ingress refuses what would not end in time, limits deadlines and keeps the longest latency of each route; what is left is cancelled at the end, so that its caller is told the outcome. Deadlines end 0.3 s before the exit (0.2 before) and the rest is answered 0.16 s before it (0.06), since threads and peers take a moment.

--- a/dogwooddock/callers/chains.py
+++ b/dogwooddock/callers/chains.py
@@ -58,10 +58,7 @@
         A router's call starts a new chain. A call of the local target continues the
         chain named by its trace id and takes a part of that chain's allowance.
         """
-        timeout_ms = route.timeout_ms
-        if req.timeout_ms:
-            timeout_ms = min(timeout_ms, req.timeout_ms)
-        deadline = now + timeout_ms / 1000
+        deadline = now + self.wait_s(req, route)
         if req.local:
             return self._extend_chain(req, deadline)
         trace_id = new_trace_id()
@@ -70,6 +67,13 @@
             trace_id, route.importance, 0, deadline, self.edge_allowance, rank
         )
 
+    def wait_s(self, req: CallerRequest, route: Route) -> float:
+        """Return the longest time that a caller waits, in seconds."""
+        timeout_ms = route.timeout_ms
+        if req.timeout_ms:
+            timeout_ms = min(timeout_ms, req.timeout_ms)
+        return timeout_ms / 1000
+
     def _extend_chain(self, req: CallerRequest, deadline: float) -> CallContext:
         with self._lock:
             entry = self._ledger.find(req.trace_id)
--- a/dogwooddock/callers/disconnects.py
+++ b/dogwooddock/callers/disconnects.py
@@ -53,6 +53,12 @@
         """End the watch of a token; does nothing if it has ended."""
         self._watches.pop(token, None)
 
+    def cancel_all(self) -> None:
+        """Cancel every request that is running, as if its caller had disconnected."""
+        for token, watch in list(self._watches.items()):
+            if self._watches.pop(token, None) is not None:
+                watch.cancel()
+
     def _run(self) -> None:
         while not self._stopped.wait(SCAN_PERIOD_S):
             self._scan(time.monotonic())
--- a/dogwooddock/callers/ingress.py
+++ b/dogwooddock/callers/ingress.py
@@ -7,6 +7,8 @@
 from ..peers.wire.ttypes import Attempt, Header
 from ..policy.outcomes import Outcome, Reason
 from ..policy.quarantine import QuarantineStatus, fingerprint
+from ..policy.recentlatency import RecentLatency
+from ..policy.shutdown import Shutdown
 from ..policy.tickets import TICKET_PREFIX, TicketState, parse_ticket
 from ..tables import MAX_IMPORTANCE, Route
 from .attempts import Attempts
@@ -27,10 +29,14 @@
 
     Args:
         deps: Collaborators of the ingress.
+
+    ``shutdown`` decides what is still taken, once the node stops.
     """
 
     def __init__(self, deps: IngressDependencies):
         self.deps = deps
+        self.shutdown: Shutdown | None = None
+        self._latency = RecentLatency()
         self.lock = threading.Lock()
         self.in_flight = 0
         self.chains = ChainTracker(deps.ledger, deps.ledger_lock, deps.edge_allowance)
@@ -57,13 +63,17 @@
         reason = Reason.NO_ROUTE if route is None else _check_key(req, route)
         if route is None or reason:
             return self._results.problem(route, Outcome.NOT_RUN, reason)
+        if not self._admits(req, route, started):
+            return self._refuse_before_sending(req, route, Reason.DRAINING)
         if not self._reserve_in_flight(route.importance):
             return self._refuse_before_sending(req, route, Reason.OVERLOAD)
         context = self.chains.begin(req, route, started)
+        context.deadline = self._limit_deadline(context.deadline)
         failed = True
         try:
             reply = self._serve(req, route, context, tables.version)
             failed = reply.status >= SERVER_ERROR_STATUS
+            self._record_latency(route, started, reply, failed)
             return reply
         finally:
             self._release_in_flight()
@@ -72,6 +82,31 @@
 
     # Admission at the ingress.
 
+    def _admits(self, req: CallerRequest, route: Route, now: float) -> bool:
+        """Report whether a stopping node still takes a request."""
+        if self.shutdown is None:
+            return True
+        with self.lock:
+            usual_s = self._latency.longest_s(now, route.name)
+        if req.local:
+            return self.shutdown.admits_call(now, usual_s)
+        return self.shutdown.admits(now, self.chains.wait_s(req, route), usual_s)
+
+    def _limit_deadline(self, deadline: float) -> float:
+        """Return a deadline that a stopping node can keep."""
+        if self.shutdown is None:
+            return deadline
+        return self.shutdown.limit_deadline(deadline)
+
+    def _record_latency(
+        self, route: Route, started: float, reply: CallerReply, failed: bool
+    ) -> None:
+        if failed and reply.outcome is not Outcome.UNKNOWN:
+            return
+        now = self.deps.clock()
+        with self.lock:
+            self._latency.record(now, route.name, now - started)
+
     def _reserve_in_flight(self, importance: int) -> bool:
         """Count a request as in flight; return False if its limit is reached.
 
@@ -120,7 +155,7 @@
             return self._cancel_refused_ticket(req, route, reason)
         if self.deps.keyed is None:
             return self._refuse_key_without_store(route)
-        deadline = self.deps.clock() + route.timeout_ms / 1000
+        deadline = self._limit_deadline(self.deps.clock() + route.timeout_ms / 1000)
         state = self.deps.keyed.lookup(req.key, deadline)
         if state.settled:
             return self._results.report_key(route, state)
--- a/dogwooddock/callers/server.py
+++ b/dogwooddock/callers/server.py
@@ -103,6 +103,10 @@
 class _Gateway(Gateway):
     def respond(self) -> None:
         """Answer one request."""
+        with self.req.server.caller_server.answering():
+            self._respond()
+
+    def _respond(self) -> None:
         server = self.req.server.caller_server
         try:
             reply = server.dispatch(self.req)
@@ -171,7 +175,8 @@
         self._limits = limits
         self._closing = False
         self._waiting_threads = 0
-        self._waiting_lock = threading.Lock()
+        self._unanswered = 0
+        self._count_lock = threading.Lock()
         self._server = _Server(
             address, _Gateway, minthreads=limits.threads, maxthreads=limits.threads
         )
@@ -211,7 +216,7 @@
             Whether the thread may wait: enough threads are left for other
             connections and keep-alive is not disabled.
         """
-        with self._waiting_lock:
+        with self._count_lock:
             self._waiting_threads += 1
             waiting = self._waiting_threads
         busy = waiting + self.ingress.in_flight
@@ -221,9 +226,26 @@
                 and not self._closing
             )
         finally:
-            with self._waiting_lock:
+            with self._count_lock:
                 self._waiting_threads -= 1
 
+    @contextmanager
+    def answering(self) -> Iterator[None]:
+        """Count a request as unanswered until the connection has taken its reply."""
+        with self._count_lock:
+            self._unanswered += 1
+        try:
+            yield
+        finally:
+            with self._count_lock:
+                self._unanswered -= 1
+
+    @property
+    def unanswered(self) -> int:
+        """Return the requests whose replies connections have not taken whole."""
+        with self._count_lock:
+            return self._unanswered
+
     @property
     def closing(self) -> bool:
         """Report whether connections are closed after their next reply."""
--- a/dogwooddock/node.py
+++ b/dogwooddock/node.py
@@ -41,6 +41,7 @@
 from .policy.quarantine import Mark, Quarantine
 from .policy.retries import RetryBudget
 from .policy.selection import Selector
+from .policy.shutdown import Shutdown, UnfinishedWork
 from .policy.tickets import TicketRegistry
 from .settings import NodeSettings, parse_address
 from .store.base import ObjectStore, TableService
@@ -280,9 +281,7 @@
         self.gossip.leave()
         self.router_server.disable_keep_alive()
         self.local_server.disable_keep_alive()
-        self._wait_until_idle(deadline)
-        time.sleep(LEAVE_PROPAGATION_S)
-        self._wait_until_idle(deadline)
+        self._finish_requests()
         self.router_server.stop()
         self.local_server.stop()
         self.peer_server.stop(max(0.0, deadline - time.monotonic()))
@@ -296,12 +295,20 @@
         self.admin.stop()
         log.info("node_stopped")
 
-    def _wait_until_idle(self, deadline: float) -> None:
-        while time.monotonic() < deadline:
-            admission = self.gate.deps.admission
-            if not (self.ingress.in_flight or admission.in_flight):
-                return
+    def _finish_requests(self) -> None:
+        """Finish what was taken, and give up what is left at the end."""
+        shutdown = Shutdown(
+            time.monotonic(), LEAVE_PROPAGATION_S, self.settings.drain_timeout_s
+        )
+        self.ingress.shutdown = shutdown
+        while not shutdown.may_exit(time.monotonic(), self._unfinished_work()):
             time.sleep(IDLE_POLL_PERIOD_S)
+            if shutdown.gives_up(time.monotonic()):
+                self.watcher.cancel_all()
+
+    def _unfinished_work(self) -> UnfinishedWork:
+        requests = self.router_server.unanswered + self.local_server.unanswered
+        return UnfinishedWork(bool(self.gate.deps.admission.in_flight), requests, 0)
 
     # Operator interface.
 
--- a/dogwooddock/policy/shutdown.py
+++ b/dogwooddock/policy/shutdown.py
@@ -15,9 +15,9 @@
 # Time before the end of the grace period at which the process exits.
 EXIT_MARGIN_S = 0.6
 # Time from the deadline of a request until its answer is on its way.
-ANSWER_S = 0.2
+ANSWER_S = 0.3
 # Time in which answers to the requests that are left are written.
-LAST_ANSWERS_S = 0.06
+LAST_ANSWERS_S = 0.16
 # A request may take longer than the longest of late.
 LATENCY_MARGIN = 1.5
 
--- a/tests/test_node_stop.py
+++ b/tests/test_node_stop.py
@@ -81,11 +81,32 @@
     return thread
 
 
+@pytest.mark.parametrize("work_s", [0.1, 0.9])
+def test_requests_to_a_stopping_node_beside_a_busy_target_are_answered(work_s):
+    with StoppingNode(work_s) as node:
+        results = {}
+        long = _start(node.second, "/long", {})
+        time.sleep(0.5)
+        node.stop()
+        threads = []
+        while node.process.poll() is None:
+            threads.append(_start(node.first, f"/short?{len(threads)}", results))
+            time.sleep(PERIOD_S)
+        ran = set(node.wait())
+        for thread in [*threads, long]:
+            thread.join()
+        lost = [path for path, answer in results.items() if answer[0] == 0]
+        assert [path for path in lost if path in ran] == []
+        refused = {path for path, answer in results.items() if answer[1] == "not-run"}
+        assert refused & ran == set()
+        assert {answer[1] for answer in results.values()} >= {"answered"}
+
+
 def _body(received):
     return received.partition(b"\r\n\r\n")[2]
 
 
-@pytest.mark.parametrize("stops", [False])
+@pytest.mark.parametrize("stops", [False, True])
 def test_slow_reader_gets_its_whole_answer(stops):
     """The client takes about 1 MB a second, over a small receive buffer."""
     with StoppingNode(0.0) as node, socket.socket() as sock:
@@ -103,3 +124,14 @@
             received += data
             time.sleep(0.03)
         assert len(_body(received)) == BODY_BYTES
+
+
+def test_request_that_outlasts_the_drain_timeout_gets_an_answer():
+    with StoppingNode(0.0) as node:
+        results = {}
+        thread = _start(node.first, "/long", results)
+        time.sleep(0.5)
+        node.stop()
+        node.wait()
+        thread.join()
+        assert results["/long"][1] == "unknown"
