Read no second copy of an answer as the answer to the next request

What callers saw on the own interface: a target that writes an answer twice on a kept connection had the copy delivered as the answer to the next request, of another caller too, if that was sent within 20 ms.

A connection that had been idle for less than 20 ms was reused without asking whether it had something to read.

--- a/dogwooddock/targets/client.py
+++ b/dogwooddock/targets/client.py
@@ -29,7 +29,6 @@
 
 CONNECT_TIMEOUT_S = 0.5
 TIMEOUT_STEP_S = 0.01
-UNCHECKED_IDLE_S = 0.02
 READ_CHUNK_BYTES = 64 * 1024
 BODILESS_STATUSES = frozenset({204, 304})
 
@@ -107,11 +106,10 @@
 
 @dataclass(slots=True)
 class _TargetConnection:
-    """One connection to the target, with monotonic times in seconds."""
+    """One connection to the target, with the monotonic time of its start in seconds."""
 
     http: HTTPConnection
     opened_at: float
-    idle_since: float
 
 
 class HttpTarget(Target):
@@ -186,7 +184,6 @@
         return TargetAnswer(answer.status, headers_sent, payload, conn.opened_at)
 
     def _release_connection(self, conn: _TargetConnection) -> None:
-        conn.idle_since = time.monotonic()
         with self._lock:
             self._idle.append(conn)
 
@@ -210,17 +207,16 @@
         return b"".join(chunks)
 
     def _acquire_connection(self) -> _TargetConnection:
-        """Return an idle connection that is still open, or a new one.
+        """Return an idle connection that is open and has nothing to read, or a new one.
 
-        A connection idle for less than ``UNCHECKED_IDLE_S`` is not checked first.
+        What a target writes between two requests would be read as the next answer.
         """
         while True:
             with self._lock:
                 idle = self._idle.pop() if self._idle else None
             if idle is None:
                 return self._connect()
-            recently_used = time.monotonic() - idle.idle_since < UNCHECKED_IDLE_S
-            if recently_used or idle.http.is_connected:
+            if idle.http.is_connected:
                 return idle
             idle.http.close()
 
@@ -231,8 +227,7 @@
             http.connect()
         except (NewConnectionError, ConnectTimeout, HTTPError, OSError) as exc:
             raise TargetUnreachable(f"cannot connect to the target: {exc}") from exc
-        now = time.monotonic()
-        return _TargetConnection(http, now, now)
+        return _TargetConnection(http, time.monotonic())
 
     def accepts_connections(self) -> bool:
         """Report whether the target accepts connections on its port."""
