Answer HEAD requests from the head of the target's response, without a body

What callers saw: a HEAD request whose target names a length waited until its deadline and got 504; and an error of the node to a HEAD request carried its text, which the caller reads as the start of its next response.

Cause: neither side of the connection knew that a response to HEAD has no body, whatever length it names.

Change: a response to HEAD is complete with its head, and its connection to the target is not used again; the server leaves out bodies of responses to HEAD.

Evidence: all 13 cases of tests/test_head_requests.py failed before and pass.

--- a/dogwooddock/http1/client.py
+++ b/dogwooddock/http1/client.py
@@ -126,6 +126,7 @@
         data: bytes,
         on_result: Callable[[Result], None],
         matches: ResponseMatcher = _accept_any,
+        bodiless: bool = False,
     ) -> None:
         """Write a request.
 
@@ -135,6 +136,7 @@
                 ``abort``.
             matches: Reports whether a response belongs to this request; other
                 responses are skipped.
+            bodiless: Whether the response has no body, as to a HEAD request.
         """
         if not self.usable:
             on_result(
@@ -151,6 +153,7 @@
         self._matches = matches
         self._response_started = False
         self._skipped_responses = 0
+        self._parser.bodiless = bodiless
         self._transport.write(data)
 
     async def exchange(self, data: bytes) -> Result:
--- a/dogwooddock/http1/messages.py
+++ b/dogwooddock/http1/messages.py
@@ -274,6 +274,9 @@
         max_header_bytes: Largest header block, in bytes; also the most bytes in a row
             that complete neither a head nor any part of a body.
         max_body_bytes: Largest body, in bytes.
+
+    ``bodiless`` tells that the next response has no body, whatever length it names, as
+    for a HEAD request; its connection carries no other response.
     """
 
     def __init__(self, max_header_bytes: int, max_body_bytes: int):
@@ -282,6 +285,7 @@
         self._completed: list[Response] = []
         self._framing_bytes = 0
         self._interim_responses = 0
+        self.bodiless = False
 
     @property
     def buffered_bytes(self) -> int:
@@ -318,10 +322,19 @@
         self.in_message = False
         return self._build_response(keep_alive=False)
 
+    def on_headers_complete(self) -> None:
+        """Record that the body follows, or complete a response without one."""
+        super().on_headers_complete()
+        if self.bodiless and self._parser.get_status_code() >= 200:
+            self.in_message = False
+            self._completed.append(self._build_response(keep_alive=False))
+
     def on_message_complete(self) -> None:
         """Build the completed response; interim (1xx) responses are dropped."""
         self.in_message = False
         status = self._parser.get_status_code()
+        if self.bodiless and status >= 200:
+            return  # It was complete with its head.
         if status >= 200:
             self._interim_responses = 0
             self._completed.append(
@@ -385,7 +398,9 @@
     )
 
 
-def render_response(status: int, block: bytes, body: bytes, close: bool) -> bytes:
+def render_response(
+    status: int, block: bytes, body: bytes, close: bool, to_head: bool = False
+) -> bytes:
     """Render a response.
 
     Args:
@@ -393,12 +408,12 @@
         block: Rendered header lines, without Content-Length and Connection.
         body: Complete body; dropped for a status that has none.
         close: Whether to add ``Connection: close``.
+        to_head: Whether it answers a HEAD request; the body is dropped then.
     """
     status_line = _STATUS_LINES.get(status) or b"HTTP/1.1 %d Status\r\n" % status
-    length_line = (
-        b"" if status in BODILESS_STATUSES else b"Content-Length: %d\r\n" % len(body)
-    )
+    names_length = status not in BODILESS_STATUSES and (body or not to_head)
+    length_line = b"Content-Length: %d\r\n" % len(body) if names_length else b""
     last_lines = b"Connection: close\r\n\r\n" if close else b"\r\n"
-    if status in BODILESS_STATUSES:
+    if to_head or status in BODILESS_STATUSES:
         body = b""
     return b"".join((status_line, block, length_line, last_lines, body))
--- a/dogwooddock/http1/server.py
+++ b/dogwooddock/http1/server.py
@@ -223,12 +223,14 @@
         """Write the responses that are ready, in the order of the requests."""
         pending = self._pending
         while pending and pending[0].answered and not self.closed:
-            response = pending.popleft()._response
+            exchange = pending.popleft()
+            response = exchange._response
             assert response is not None
             if self._server.draining and not pending and not self._parser.in_message:
                 self._input_closed = True
             close = self._input_closed and not pending
-            self._transport.write(render_response(*response, close))
+            to_head = exchange.request.method == b"HEAD"
+            self._transport.write(render_response(*response, close, to_head))
             self._last_activity_at = self._loop.time()
             if close:
                 self._close_if_done()
--- a/dogwooddock/mesh/targetruns.py
+++ b/dogwooddock/mesh/targetruns.py
@@ -132,6 +132,7 @@
             render_request(call.method, call.path, block, call.body),
             lambda result: self._on_result(gate_call, pool, conn, result),
             lambda response: self._wire.is_response_to(call, response, fresh),
+            bodiless=call.method == b"HEAD",
         )
 
     # Results.
