Read past entries whose text cannot be encoded

What operators saw: a row with an escaped lone surrogate in a string (valid JSON) made the nodes that took it up fail each time they pushed it to peers or logged it.

Cause: the string passes the parser and every check, and fails only where it is encoded: in a frame of a link, in a log line, in a query to the store. And one row whose value is not base64 made the whole response of the store malformed.

Change: JSON of other writers is refused if a string cannot be encoded; in the store's own responses, where one row must not hide the others, such characters are replaced and a malformed value counts as empty, with a log line; the log writer escapes what it cannot encode.

--- a/dogwooddock/logs.py
+++ b/dogwooddock/logs.py
@@ -58,7 +58,7 @@
         if self.dropped_lines:
             text = f"event=lines_left_out count={self.dropped_lines}\n{text}"
         try:
-            os.write(self._descriptor, text.encode())
+            os.write(self._descriptor, text.encode(errors="backslashreplace"))
             self.dropped_lines = 0
         except OSError:
             self.dropped_lines += 1
--- a/dogwooddock/platform/store.py
+++ b/dogwooddock/platform/store.py
@@ -13,7 +13,7 @@
 
 from ..http1.client import ConnectionPool, RequestFailure
 from ..http1.messages import Response, render_request
-from ..jsontext import parse_json
+from ..jsontext import is_encodable, parse_json
 from ..mesh.members import MAX_ERA, VERSION_BITS
 from ..mesh.rows import (
     Change,
@@ -84,17 +84,32 @@
 
 def _parse_row(entry: dict[str, Any]) -> Row:
     removed = bool(entry.get("removed"))
-    value = b"" if removed else base64.b64decode(entry.get("value", ""))
     return Row(
         entry["table"],
-        entry.get("part", ""),
-        entry["key"],
-        value,
+        _encodable(entry.get("part", "")),
+        _encodable(entry["key"]),
+        b"" if removed else _parse_value(entry),
         _whole_number(entry["ver"]),
         removed,
     )
 
 
+def _parse_value(entry: dict[str, Any]) -> bytes:
+    """Return the value of a row; empty if it is malformed, so that others are read."""
+    try:
+        return base64.b64decode(entry.get("value", ""))
+    except (TypeError, ValueError) as exc:
+        log.warning("row_value_malformed", key=entry["key"][:80], error=str(exc)[:80])
+        return b""
+
+
+def _encodable(text: str) -> str:
+    """Return a string with a replacement for characters that cannot be encoded."""
+    if is_encodable(text):
+        return text
+    return text.encode("utf-16", "surrogatepass").decode("utf-16", "replace")
+
+
 class StoreClient(RowStore):
     """Access the rows of the store over HTTP.
 
@@ -143,7 +158,7 @@
                 query["after"] = found[-1]
             body = await self._get("/rows-parts", query)
             parts = body.get("parts", [])
-            found.extend(str(part) for part in parts)
+            found.extend(_encodable(str(part)) for part in parts)
             if not body.get("has_more") or not parts:
                 return found
 
@@ -275,7 +290,7 @@
 
 def _decode_json(response: Response) -> dict[str, Any]:
     try:
-        body = parse_json(response.body) if response.body else {}
+        body = parse_json(response.body, any_string=True) if response.body else {}
     except ValueError as exc:
         raise StoreUncertain("the store's response is not JSON") from exc
     return body if isinstance(body, dict) else {}
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import sys
 
 import pytest
 
@@ -13,6 +14,7 @@
 from dogwooddock.errors import DogwooddockError
 from dogwooddock.http1.client import ConnectionPool
 from dogwooddock.http1.messages import Response, render_request
+from dogwooddock.logs import RateLimitedWriter
 from dogwooddock.mesh.calls import StateUpdate
 from dogwooddock.mesh.recordrows import decode_marks, decode_record
 from dogwooddock.mesh.rows import Change, StoreUncertain
@@ -143,6 +145,57 @@
     assert faults == []
 
 
+def _with_lone_surrogates(body, names):
+    return [json.dumps({**body, name: "\ud800"}).encode() for name in names]
+
+
+@pytest.mark.parametrize(
+    ("reader", "bodies"),
+    [
+        (decode_record, _with_lone_surrogates(RECORD, ("zone", "pool", "target_id"))),
+        (
+            decode_marks,
+            [json.dumps({"marks": [{**MARK, "request": "\ud800"}]}).encode()],
+        ),
+        (
+            lambda body: decode_heartbeat("t-odd", body),
+            _with_lone_surrogates(HEARTBEAT, ("service",)),
+        ),
+    ],
+    ids=["record", "marks", "heartbeat"],
+)
+def test_text_that_cannot_be_encoded_is_refused(reader, bodies):
+    for body in bodies:
+        with pytest.raises(DogwooddockError):
+            reader(body)
+
+
+@pytest.mark.parametrize(
+    "entry",
+    [
+        {"table": "members", "part": "a", "key": "\ud800", "ver": 1, "value": "e30="},
+        {"table": "members", "part": "\ud800", "key": "k", "ver": 1, "value": "e30="},
+        {"table": "members", "part": "a", "key": "k", "ver": 1, "value": "!"},
+        {"table": "members", "part": "a", "key": "k", "ver": 1, "value": "\u00e9"},
+        {"table": "members", "part": "a", "key": "k", "ver": 1, "value": 7},
+        {"table": "members", "part": "a", "key": "k", "ver": 1},
+    ],
+    ids=["key", "part", "not base64", "not ASCII", "number", "no value"],
+)
+def test_other_rows_are_read_beside_one_that_cannot_be(entry):
+    good = {"table": "members", "part": "a", "key": "good", "ver": 2, "value": "e30="}
+    text = json.dumps({"rows": [entry, good], "ver": 2}).encode()
+    rows = _parse_rows(_decode_json(Response(200, [], {}, text)))
+    assert rows[-1].value == b"{}"
+    assert all((row.key + row.part).isprintable() for row in rows)
+    assert rows[0].value in (b"", b"{}")
+
+
+def test_log_line_with_text_that_cannot_be_encoded_is_written(capfd):
+    RateLimitedWriter(sys.stdout.fileno()).write("key=\ud800\n")
+    assert "key=" in capfd.readouterr().out
+
+
 @pytest.mark.parametrize("port", PORTS)
 @pytest.mark.parametrize("reader", ["record", "heartbeat"])
 def test_port_out_of_range_is_refused(reader, port):
