Keep nodes of the own interface following past rows that cannot be read

What operators saw: one malformed head or edit in the configuration table ended the thread that follows it, for good: the node kept its old routes until a restart. One contact row with a port out of range ended the thread that joins nodes.

Cause: rows were parsed without a check, and errors other than the platform's ended the actor or the thread.

Change: a malformed row is a PlatformError that names row and remedy, so it is tried again like any failed read; contacts are parsed as addresses and odd ones left out with a log line; the two threads log what else a peer or writer makes them fail with, and go on.

--- a/dogwooddock/config/store.py
+++ b/dogwooddock/config/store.py
@@ -7,10 +7,12 @@
 __all__ = ["ConfigStore", "Head"]
 
 import json
+from collections.abc import Callable
 from dataclasses import asdict, dataclass
+from typing import TypeVar
 
-from ..errors import ConfigConflict, PlatformError, PlatformTimeout
-from ..store.base import ObjectStore, TableService, Write
+from ..errors import ConfigConflict, MalformedRow, PlatformError, PlatformTimeout
+from ..store.base import ObjectStore, Row, TableService, Write
 from ..tables import Edit, Tables, changes_between
 
 CONFIG_TABLE = "config"
@@ -18,6 +20,9 @@
 SNAPSHOT_EVERY = 32
 LOG_PAGE_ROWS = 200
 MAX_WRITE_ATTEMPTS = 5
+MALFORMED = (ValueError, TypeError, KeyError, AttributeError, RecursionError)
+
+T = TypeVar("T")
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,11 +32,38 @@
     version: int
     edit_id: str
 
+    @classmethod
+    def loads(cls, text: str) -> "Head":
+        """Deserialize a head from JSON.
+
+        Raises:
+            ValueError: The version is not a whole number.
+        """
+        head = cls(**json.loads(text))
+        if type(head.version) is not int:
+            raise ValueError("the version is not a whole number")
+        head.edit_id.encode()
+        return head
+
+
+def _parse(row: Row, loads: Callable[[str], T]) -> T:
+    try:
+        return loads(row.value)
+    except MALFORMED as exc:
+        raise MalformedRow(
+            f"row {row.key!r} of table {CONFIG_TABLE!r} is malformed; correct it: "
+            f"{exc!r:.80}"
+        ) from exc
+
 
 def _log_key(version: int) -> str:
     return f"log/{version:012d}"
 
 
+def _head_of(row: Row) -> Head:
+    return _parse(row, Head.loads) if row.version else Head(0, "")
+
+
 def _snapshot_name(version: int) -> str:
     return f"config/snapshot/{version}"
 
@@ -50,8 +82,7 @@
 
     def head(self) -> Head:
         """Return the newest accepted version; version 0 if there is none."""
-        row = self._tables.read(CONFIG_TABLE, [HEAD_KEY])[0]
-        return Head(**json.loads(row.value)) if row.version else Head(0, "")
+        return _head_of(self._tables.read(CONFIG_TABLE, [HEAD_KEY])[0])
 
     def edits_after(self, version: int) -> list[Edit]:
         """Return the edits after a version, oldest first."""
@@ -59,7 +90,7 @@
         after = _log_key(version)
         while True:
             rows = self._tables.scan(CONFIG_TABLE, after, LOG_PAGE_ROWS)
-            edits.extend(Edit.loads(row.value) for row in rows)
+            edits.extend(_parse(row, Edit.loads) for row in rows)
             if len(rows) < LOG_PAGE_ROWS:
                 return edits
             after = rows[-1].key
@@ -121,7 +152,7 @@
         self, desired: Tables, base: int, edit_id: str, author: str
     ) -> Tables:
         row = self._tables.read(CONFIG_TABLE, [HEAD_KEY])[0]
-        head = Head(**json.loads(row.value)) if row.version else Head(0, "")
+        head = _head_of(row)
         if head.version != base:
             return self._resolve_version_mismatch(desired, base, head, edit_id)
         current = self.load(head)
--- a/dogwooddock/config/sync.py
+++ b/dogwooddock/config/sync.py
@@ -110,11 +110,14 @@
         self._last_read_at = 0.0
 
     def on_receive(self, message: object) -> object:
-        """Handle a ``_Poll`` or ``_Pull`` message."""
-        if isinstance(message, _Poll):
-            self._poll(time.monotonic())
-        elif isinstance(message, _Pull) and message.version > self._holder.version:
-            self._pull_from(message)
+        """Handle a ``_Poll`` or ``_Pull`` message; one that fails ends no other."""
+        try:
+            if isinstance(message, _Poll):
+                self._poll(time.monotonic())
+            elif isinstance(message, _Pull) and message.version > self._holder.version:
+                self._pull_from(message)
+        except Exception:
+            log.exception("config_update_failed")
         return None
 
     def _poll(self, now: float) -> None:
--- a/dogwooddock/discovery/contacts.py
+++ b/dogwooddock/discovery/contacts.py
@@ -2,12 +2,18 @@
 
 __all__ = ["ContactRows"]
 
+import structlog
+
 from ..errors import PlatformError
+from ..settings import parse_address
 from ..store.base import TableService, Write
 
 CONTACTS_TABLE = "contacts"
 ROWS_PER_ZONE = 3
 MAX_ROWS = 200
+MAX_LOGGED_CHARS = 120
+
+log = structlog.get_logger()
 
 
 class ContactRows:
@@ -30,9 +36,11 @@
             return []
         addresses = []
         for row in rows:
-            host, _, port = row.value.rpartition(":")
-            if host and port.isdigit():
-                addresses.append((host, int(port)))
+            try:
+                addresses.append(_parse_contact(row.value))
+            except ValueError as exc:
+                cause = str(exc)[:MAX_LOGGED_CHARS]
+                log.warning("contact_malformed", key=row.key[:80], error=cause)
         return addresses
 
     def write(self, rank: int, address: str) -> bool:
@@ -59,3 +67,10 @@
         except PlatformError:
             return False
         return results[0].applied
+
+
+def _parse_contact(text: str) -> tuple[str, int]:
+    address = parse_address(text)
+    if not address[1]:
+        raise ValueError("port 0 cannot be connected to")
+    return address
--- a/dogwooddock/discovery/joining.py
+++ b/dogwooddock/discovery/joining.py
@@ -5,6 +5,8 @@
 import threading
 from collections.abc import Sequence
 
+import structlog
+
 from ..errors import PeerError
 from ..peers.client import PeerConnections
 from ..peers.codec import from_wire_member
@@ -19,6 +21,8 @@
 
 Address = tuple[str, int]
 
+log = structlog.get_logger()
+
 
 class Joining:
     """Join other nodes while this one is alone, and refresh the contact rows after.
@@ -63,10 +67,14 @@
     def _run(self) -> None:
         while not self._stopped.is_set():
             alone = self._members.alone
-            if alone:
-                self._join(self._known_contacts())
-            elif self._rows is not None:
-                self._refresh(self._rows)
+            try:
+                if alone:
+                    self._join(self._known_contacts())
+                elif self._rows is not None:
+                    self._refresh(self._rows)
+            except Exception:
+                # What a peer or another writer says must not end this thread.
+                log.exception("joining_failed")
             if self._stopped.wait(JOIN_PERIOD_S if alone else CONTACT_PERIOD_S):
                 return
 
--- a/dogwooddock/errors.py
+++ b/dogwooddock/errors.py
@@ -94,6 +94,10 @@
     """The platform rejected the call as invalid; nothing was written."""
 
 
+class MalformedRow(PlatformError):
+    """A row of the platform's tables cannot be read; its writer must correct it."""
+
+
 class PlatformTimeout(PlatformError):
     """No usable response arrived from the platform; a write may have taken effect."""
 
