Let a configuration, not a process's memory, tell which nodes own quotas

Cause: the nodes that may own quotas were those of the pools that a process had used since its start, so processes of different age had different sets, each with a majority.

Change: they are those of the pools that the routes of the configuration lead to.

--- a/dogwooddock/mesh/fleet.py
+++ b/dogwooddock/mesh/fleet.py
@@ -128,6 +128,7 @@
         self._links: dict[Address, OutboundLink] = {}
         self._addresses: dict[int, Address] = {}
         self._pool_used_at: dict[str, float] = {}
+        self._granting_pools: frozenset[str] = frozenset()
         self._ready_counts: dict[str, int] = {}
         self.changes = 0
         self._on_target_lost = on_target_lost
@@ -380,12 +381,19 @@
                 self._link(address).dial()
 
     def preconnect(self, pools: list[str]) -> None:
-        """Connect to the members of pools before the first call to them.
+        """Connect to the members of the configuration's pools.
 
-        At most ``MAX_PRECONNECTED_POOLS`` pools are connected to.
+        At most ``MAX_PRECONNECTED_POOLS`` pools are connected to. Only their nodes own
+        quotas, so that nodes with the same configuration agree on the owners, whatever
+        pools they used before.
+
+        Args:
+            pools: Pools that routes lead to, in an order that all nodes share.
         """
+        preconnected = pools[:MAX_PRECONNECTED_POOLS]
+        self._granting_pools = frozenset(preconnected)
         self._count_change()
-        for pool in pools[:MAX_PRECONNECTED_POOLS]:
+        for pool in preconnected:
             self._pool_used_at.setdefault(pool, self._loop.time())
             self._dial(self.members.ready_records(pool))
 
@@ -424,15 +432,18 @@
         self.changes += 1
 
     def granting_count(self) -> int:
-        """Return the number of nodes in use whose targets are ready."""
-        return sum(self._ready_counts.get(pool, 0) for pool in self._pool_used_at)
+        """Return the number of nodes that may own quotas."""
+        return sum(self._ready_counts.get(pool, 0) for pool in self._granting_pools)
 
     def granting_members(self) -> list[Address]:
-        """Return the nodes in use whose targets are ready, this node included."""
+        """Return the nodes that may own quotas, this node included.
+
+        Their targets are ready and belong to pools of the configuration.
+        """
         return [
             record.address
             for record in self.members.all_records()
-            if record.state is TargetState.READY and record.pool in self._pool_used_at
+            if record.state is TargetState.READY and record.pool in self._granting_pools
         ]
 
     def reaches(self, address: Address) -> bool:
--- a/tests/test_mesh_quota.py
+++ b/tests/test_mesh_quota.py
@@ -15,7 +15,9 @@
 
 from .mesh_helpers import (
     account_entry,
+    config_document,
     cut_links,
+    restart_node,
     route_entry,
     running_fleet,
     status_of,
@@ -123,6 +125,33 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("restarted", [1, 3])
+def test_quota_has_one_owner_after_a_route_was_dropped_and_nodes_restarted(restarted):
+    """Guards against nodes that remember pools which others have never used."""
+
+    async def scenario():
+        pools = ["shop"] * 3 + ["stock"] * 3
+        extra = route_entry("stock", "stock", "/stock/")
+        async with running_fleet(*pools, routes=[*ROUTES, extra]) as fleet:
+            await fleet.store.put("op", "config", config_document(2, ROUTES))
+            nodes = [vm.node for vm in fleet.vms]
+            await wait_until(lambda: all(node.config.version == 2 for node in nodes))
+            for vm in fleet.vms[:restarted]:
+                await restart_node(vm)
+            nodes = [vm.node for vm in fleet.vms]
+            await wait_until(lambda: all(node.ready for node in nodes))
+            await asyncio.sleep(3.0)
+            views = [node.quotas._members.view for node in nodes]
+            assert len({view.known for view in views}) == 1
+            account_id = nodes[0].quotas._ids["acme"]
+            assert len({view.owner(account_id) for view in views}) == 1
+            answers = await send_many(fleet, b"key-a", 240)
+            served = [status_of(answer) for answer in answers].count(200)
+            assert LIMIT.burst <= served <= QuotaRule().bound(LIMIT)
+
+    run(scenario())
+
+
 def test_refusals_have_one_line_a_second_and_account_at_a_node():
     async def scenario():
         async with running_fleet("shop", "shop", routes=ROUTES) as fleet:
