Let a node that was suspended grant only after it has heard from peers again

Cause: links measure silence by a clock that stands still during a suspension; a bucket kept the margin that it was created with.

Change: after a gap of its own checks of 0.75 s or more, on the clock that counts suspensions, a node believes no silence that began before; it probes its peers and grants again once they answer. Bounds that are read again are set in buckets and holders.

--- a/dogwooddock/mesh/quotamembers.py
+++ b/dogwooddock/mesh/quotamembers.py
@@ -6,6 +6,7 @@
 
 from ..policy.clusterview import ClusterView
 from ..policy.intouch import InTouch
+from ..policy.quota import MAX_PAUSE_S
 from ..policy.rendezvous import Address
 from .fleet import Fleet
 
@@ -28,6 +29,8 @@
         self._in_touch = InTouch(rng)
         self._heard_at: dict[Address, float] = {}
         self._seen_changes = -1
+        self._refresh_asked_at = float("inf")
+        self._resumed_at = float("-inf")
 
     def hear(self, now: float, address: Address) -> None:
         """Record a message of a peer."""
@@ -38,7 +41,13 @@
 
         The members are read only after a change of them or of a link, since that takes
         time in proportion to their number.
+
+        Args:
+            now: Time of a clock that counts suspension, in seconds.
         """
+        if now - self._refresh_asked_at > MAX_PAUSE_S:
+            self._resumed_at = now
+        self._refresh_asked_at = now
         view = self.view
         changed = self._fleet.changes != self._seen_changes
         has_grown = changed and self._fleet.granting_count() > 2 * len(view.known)
@@ -69,4 +78,8 @@
 
     def _silence_s(self, address: Address, now: float) -> float:
         heard_s = now - self._heard_at.get(address, float("-inf"))
-        return min(heard_s, self._fleet.silence_s(address))
+        silence_s = self._fleet.silence_s(address)
+        if silence_s > now - self._resumed_at:
+            # Links measure it without the time of a suspension, which came after it.
+            return heard_s
+        return min(heard_s, silence_s)
--- a/dogwooddock/mesh/quotas.py
+++ b/dogwooddock/mesh/quotas.py
@@ -145,7 +145,10 @@
     def follow(self, bounds: Bounds) -> None:
         """Follow bounds of the deployment that were read again."""
         rule = QuotaRule(bounds.quota_window_s, bounds.quota_excess, bounds.quota_slack)
-        self._rule = self._granter.rule = rule
+        self._rule = rule
+        self._granter.set_rule(self._clock(), rule)
+        for state in self._accounts.values():
+            state.holder.rule = rule
 
     def apply(self, accounts: tuple[ClientAccount, ...]) -> None:
         """Follow the accounts of a new configuration."""
--- a/dogwooddock/policy/quotagranter.py
+++ b/dogwooddock/policy/quotagranter.py
@@ -32,7 +32,7 @@
     """
 
     def __init__(self, rule: QuotaRule, view: ClusterView, now: float):
-        self.rule = rule
+        self._rule = rule
         self.view = view
         self._limits: dict[int, QuotaLimit] = {}
         self._buckets: dict[int, QuotaBucket] = {}
@@ -63,9 +63,18 @@
             if limit is None:
                 del self._buckets[account_id]
             elif limit != bucket.limit:
-                bucket.refill(now, self.view)
-                bucket.limit, bucket.margin = limit, self.rule.margin(limit)
-                bucket.tokens = min(bucket.tokens, bucket.capacity)
+                self._rebound(now, bucket, limit)
+
+    def set_rule(self, now: float, rule: QuotaRule) -> None:
+        """Follow new bounds of the deployment; lower ones bind at once."""
+        self._rule = rule
+        for bucket in self._buckets.values():
+            self._rebound(now, bucket, bucket.limit)
+
+    def _rebound(self, now: float, bucket: QuotaBucket, limit: QuotaLimit) -> None:
+        bucket.refill(now, self.view)
+        bucket.limit, bucket.margin = limit, self._rule.margin(limit)
+        bucket.tokens = min(bucket.tokens, bucket.capacity)
 
     def update(self, now: float, view: ClusterView) -> None:
         """Follow the view of the fleet; forget accounts that others may own now."""
@@ -117,7 +126,7 @@
 
     def _new_bucket(self, limit: QuotaLimit) -> QuotaBucket:
         """Return a bucket with a small fill, as the owner before may have granted."""
-        margin = self.rule.margin(limit)
+        margin = self._rule.margin(limit)
         fill = max(1.0, FIRST_FILL_SHARE * margin)
         return QuotaBucket(limit, margin, fill, self._settled_at)
 
--- a/dogwooddock/policy/quotaholder.py
+++ b/dogwooddock/policy/quotaholder.py
@@ -92,7 +92,7 @@
 
     def __init__(self, limit: QuotaLimit, rule: QuotaRule, rng: Random, now: float):
         self.limit = limit
-        self._rule = rule
+        self.rule = rule
         self._rng = rng
         self._expiries: list[float] = []
         self._waiting: deque[float] = deque()
@@ -279,7 +279,7 @@
         self._nodes = max(1, nodes)
         if self._alone_since is None:
             self._alone_since = self._alone_at = now
-            first = FIRST_PART_SHARE * self._rule.margin(self.limit) / self._nodes
+            first = FIRST_PART_SHARE * self.rule.margin(self.limit) / self._nodes
             self._alone_tokens = min(1.0, first)
         return self._settle_alone(now)
 
