Take calls of running requests during a stop until their deadline is at hand

Change: a call of a run is taken until the last deadline, which it is given; so its target gives up in time for an answer, and none is cut.

--- a/dogwooddock/callers/ingress.py
+++ b/dogwooddock/callers/ingress.py
@@ -86,10 +86,10 @@
         """Report whether a stopping node still takes a request."""
         if self.shutdown is None:
             return True
+        if req.local:
+            return self.shutdown.admits_call(now)
         with self.lock:
             usual_s = self._latency.longest_s(now, route.name)
-        if req.local:
-            return self.shutdown.admits_call(now, usual_s)
         return self.shutdown.admits(now, self.chains.wait_s(req, route), usual_s)
 
     def _limit_deadline(self, deadline: float) -> float:
--- a/dogwooddock/mesh/ingress.py
+++ b/dogwooddock/mesh/ingress.py
@@ -156,10 +156,10 @@
         if self.shutdown is None:
             return True
         now, call = pending.arrived_at, pending.call
-        usual_s = self._latency.longest_s(now, call.route)
         if pending.parent is not None:
-            admitted = self.shutdown.admits_call(now, usual_s)
+            admitted = self.shutdown.admits_call(now)
         else:
+            usual_s = self._latency.longest_s(now, call.route)
             admitted = self.shutdown.admits(now, call.deadline - now, usual_s)
         if admitted:
             self._set_deadline(pending, self.shutdown.limit_deadline(call.deadline))
--- a/dogwooddock/policy/shutdown.py
+++ b/dogwooddock/policy/shutdown.py
@@ -73,19 +73,15 @@
             wait_s = min(wait_s, usual_s * LATENCY_MARGIN)
         return now + wait_s <= self.last_deadline
 
-    def admits_call(self, now: float, usual_s: float | None = None) -> bool:
+    def admits_call(self, now: float) -> bool:
         """Report whether a call of a run of the local target is taken.
 
-        The target is at work on the run, so a call is refused only if it would not end.
+        The target is at work on the run, so a call is refused only if it cannot end.
 
         Args:
             now: Time of its arrival, in seconds.
-            usual_s: Longest time that such calls took of late, in seconds; None if that
-                is not known.
         """
-        if now < self.listen_until:
-            return True
-        return now + (usual_s or 0.0) < self.last_deadline
+        return now < self.last_deadline
 
     def limit_deadline(self, deadline: float) -> float:
         """Return the deadline of a request that is taken now, in seconds."""
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -156,6 +156,32 @@
     run(scenario())
 
 
+def test_calls_of_the_local_target_are_served_though_one_took_long_before():
+    """Refusing them would fail the runs that the node waits for."""
+
+    async def scenario():
+        async with running_fleet("shop", "stock", bounds=BOUNDS) as fleet:
+            shop, stock = fleet.vms
+            shop.target.mode = TargetMode(work_s=7.0)
+            stock.target.mode = TargetMode(0.05, work_by_path=(("/stock/slow", 2.5),))
+            results = {}
+            await _ask(shop, "/stock/slow", "before-slow", 5000, results)
+            for number in range(20):
+                await _ask(shop, "/stock/1", f"before-{number}", 5000, results)
+            run = asyncio.create_task(_ask(stock, "/read/1", "run", 8000, results))
+            await asyncio.sleep(0.1)
+            stopping = asyncio.create_task(_stop(shop))
+            for number in range(40):
+                await _ask(shop, "/stock/1", f"run.{number}", 2000, results)
+                await asyncio.sleep(0.05)
+            await asyncio.gather(run, stopping)
+            calls = [name for name in results if name.startswith("run.")]
+            assert len(calls) == 40
+            assert [n for n in calls if results[n][1].status != 200] == []
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("sent_s", [-0.5, 1.0])
 def test_requests_that_outlast_the_grace_period_get_an_answer(sent_s):
     async def scenario():
