Draw stops beside busy targets, second refusals and odd check-ins in the soak

Change: beside the other faults, with a seed of their own, nodes stop while their targets run requests that outlast the grace period and clients go on, on open and new connections; targets refuse each request once and write the refusal twice; another writer's heartbeat lacks a field and is far ahead. A request that ran and was broken off by a planned stop is a violation, also if the node answered in the target's place.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -124,6 +124,46 @@
             ("policy/shutdown.py", "EXIT_MARGIN_S = 0.6", "EXIT_MARGIN_S = -9.0"),
         ),
     ),
+    Mutant(
+        "stop-cuts-what-it-took",
+        (
+            (
+                "policy/shutdown.py",
+                "return now + wait_s <= self.last_deadline",
+                "return True",
+            ),
+            (
+                "policy/shutdown.py",
+                "return min(deadline, self.last_deadline)",
+                "return deadline",
+            ),
+            (
+                "policy/shutdown.py",
+                "return now >= self.exit_at - LAST_ANSWERS_S",
+                "return False",
+            ),
+        ),
+    ),
+    Mutant(
+        "resent-on-the-connection-of-a-refusal",
+        (
+            (
+                "mesh/targetruns.py",
+                "if not self._refused.contains(call.request_id, self._loop.time()):",
+                "if call is not None:",
+            ),
+        ),
+    ),
+    Mutant(
+        "incomplete-heartbeat-accepted",
+        (
+            (
+                "platform/heartbeats.py",
+                "    born: _WholeNumber\n",
+                "    born: _WholeNumber = MAX_WHOLE_NUMBER\n",
+            ),
+        ),
+    ),
     Mutant(
         "no-recovery-from-store-loss",
         (
--- a/bench/settingsfile.py
+++ b/bench/settingsfile.py
@@ -65,7 +65,6 @@
 ) -> dict[str, Any]:
     """Return the entry of a route in the platform's configuration format."""
     spec = {
-        **spec,
         "host": "app.example",
         "prefix": prefix,
         "kind": kind,
@@ -74,6 +73,7 @@
         "priority": priority,
         "attempts": 2,
         "service": pool,
+        **spec,
     }
     return {"type": "routes", "metadata": {"name": name}, "spec": spec}
 
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -17,13 +17,12 @@
 from random import Random
 
 from dogwooddock.http1.client import ClientConnection, ConnectionPool, RequestFailure
-from dogwooddock.http1.messages import Response, render_request
+from dogwooddock.http1.messages import render_request
 
-from .mesh_standin import answer_body
 from .soakaccounts import HOT_KEY, PLAIN_KEY, find_account_violations
 from .soakchecks import ApiKey, ClientRequest, find_violations
-from .soakfaults import SoakFaults
 from .soakfleet import CONFIG_BOUND_S, DRAIN_BOUND_S, GRACE_PERIOD_S, SimulatedVM
+from .soakplanned import SoakPlannedWork
 
 RECOVERY_S = 6.0
 OBSERVATION_S = 2.0
@@ -54,7 +53,7 @@
 
 
 @dataclass
-class _SoakTest(SoakFaults):
+class _SoakTest(SoakPlannedWork):
     seconds: float = 10.0
     flooding: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -116,15 +115,7 @@
         except TimeoutError:
             conn.abort()
             result = RequestFailure(True, False, False, False, "no answer")
-        request.ended_at = self.now()
-        if isinstance(result, Response):
-            request.status = result.status
-            request.body_matches = result.body == answer_body(request.request_id)
-            request.id_matches = result.fields.get(b"dogwooddock-request-id") == (
-                request.request_id.encode()
-            )
-            stamp = result.fields.get(b"dogwooddock-server-stamp", b"").decode()
-            request.target_id = stamp
+        request.record(result, self.now())
 
     # Run.
 
@@ -141,6 +132,7 @@
         faults = [
             self.spawn(self.inject_faults()),
             self.spawn(self.return_store()),
+            self.spawn(self.plan_work()),
         ]
         await asyncio.sleep(self.seconds)
         for task in faults:
--- a/bench/soakchecks.py
+++ b/bench/soakchecks.py
@@ -6,12 +6,18 @@
 from dataclasses import dataclass, field
 from math import inf
 
+from dogwooddock.http1.client import RequestFailure
+from dogwooddock.http1.messages import Response
 from dogwooddock.policy.outcomes import RETRY_INVITING_STATUSES
 
-from .mesh_standin import Run
+from .mesh_standin import Run, answer_body
 
 NON_IDEMPOTENT_ROUTE = "order"
 SETTLING_TIME_S = 3.0
+# Longest planned stop, and the time from its start until its signal is recorded.
+STOP_S = 6.0
+STOP_RECORD_S = 0.01
+PEER_FAILED = "unknown: peer-failed"
 BOUND_TOLERANCE_S = 0.3
 RETRY_RATIO = 0.2
 RETRY_EXTRA = 48
@@ -53,6 +59,7 @@
         ended_at: Time of the answer or of giving up, in seconds.
         api_key: Key that was sent with it.
         owed: Whether it has to be served while there is no fault.
+        error: Text of the answer if a node made it.
     """
 
     request_id: str
@@ -67,6 +74,26 @@
     ended_at: float = 0.0
     api_key: ApiKey | None = None
     owed: bool = True
+    error: str = ""
+
+    @property
+    def broken_off(self) -> bool:
+        """Report whether its node or connection ended before the answer came."""
+        return not self.status or PEER_FAILED in self.error
+
+    def record(self, result: Response | RequestFailure, now: float) -> None:
+        """Record the answer, or that there was none."""
+        self.ended_at = now
+        if not isinstance(result, Response):
+            return
+        fields = result.fields
+        self.status = result.status
+        self.body_matches = result.body == answer_body(self.request_id)
+        request_id = self.request_id.encode()
+        self.id_matches = fields.get(b"dogwooddock-request-id") == request_id
+        self.target_id = fields.get(b"dogwooddock-server-stamp", b"").decode()
+        if not self.target_id:
+            self.error = result.body.decode("latin-1")
 
 
 @dataclass
@@ -95,6 +122,9 @@
     _node_faults: dict[int, list[float]] = field(
         default_factory=lambda: defaultdict(list)
     )
+    _planned_stops: dict[int, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
     _store_faults: list[float] = field(default_factory=list)
     _starved: list[float] = field(default_factory=list)
 
@@ -112,6 +142,35 @@
         if not store:
             self.membership_changes.append(at)
 
+    def record_planned_stop(self, node: int, at: float) -> None:
+        """Record a stop of a node in which nothing that it took may be lost."""
+        self._planned_stops[node].append(at)
+
+    def was_cut_by_planned_stop(self, request: ClientRequest, runs: list[Run]) -> bool:
+        """Report whether a request that ran was broken off by a planned stop.
+
+        Not if its node, or that of a target that ran it, had another fault meanwhile
+        or shortly before.
+        """
+        nodes = {int(run.target_id[1:].partition("-")[0]) for run in runs}
+        return any(
+            at <= request.sent_at <= at + STOP_S
+            and not any(
+                self._has_other_fault(node, at, request)
+                for node in nodes | {request.node}
+            )
+            for at in self._planned_stops[request.node]
+        )
+
+    def _has_other_fault(
+        self, node: int, stop_at: float, request: ClientRequest
+    ) -> bool:
+        begin = request.sent_at - SETTLING_TIME_S
+        return any(
+            begin <= at <= request.ended_at and abs(at - stop_at) > STOP_RECORD_S
+            for at in self._node_faults[node]
+        )
+
     def record_starvation(self, node: int, at: float) -> None:
         """Record that a node's process could not run, which is a pause of the node."""
         self.record_node_fault(node, at)
@@ -195,6 +254,8 @@
             found.append(f"{name} ran {len(runs)} times")
         if request.status in RETRY_INVITING_STATUSES and runs:
             found.append(f"{name} was reported as not run but ran")
+    if runs and request.broken_off and history.was_cut_by_planned_stop(request, runs):
+        found.append(f"{name} ran and was broken off by a planned stop")
     if request.status == 404:
         found.append(f"{name} was answered 404 although its route exists")
     if request.route == "moving" and request.status == 200:
--- a/bench/soakfleet.py
+++ b/bench/soakfleet.py
@@ -114,6 +114,19 @@
             route_entry("moving", pool, "/moving/", "idempotent", 1, public=True),
             route_entry("keyed", "shop", "/keyed/", "idempotent", 1),
         ]
+        for name in ("shop", "stock"):
+            prefix = f"/long-{name}/"
+            routes.append(
+                route_entry(
+                    f"long-{name}",
+                    name,
+                    prefix,
+                    "idempotent",
+                    1,
+                    public=True,
+                    timeout="6000ms",
+                )
+            )
         return config_document(self.version, [*routes, *self.accounts.entries()])
 
     async def start(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -68,6 +68,35 @@
         ([client_request()], [run_at(13.0, target_id="left")], "after its drain"),
         ([client_request("moving", sent_at=20.0)], [run_at()], "ran in pool shop"),
         ([client_request("moving", sent_at=11.0)], [run_at()], ""),
+        (
+            [client_request(sent_at=24.0, status=0, ended_at=25.4, node=3)],
+            [run_at(24.1, target_id="t4-0")],
+            "was broken off by a planned stop",
+        ),
+        (
+            [
+                client_request(
+                    sent_at=24.0,
+                    status=502,
+                    ended_at=25.4,
+                    node=3,
+                    error="request unknown: peer-failed",
+                )
+            ],
+            [run_at(24.1, target_id="t4-0")],
+            "was broken off by a planned stop",
+        ),
+        (
+            [client_request(sent_at=24.0, status=0, ended_at=25.4, node=3)],
+            [run_at(24.1, target_id="t5-0")],
+            "",
+        ),
+        ([client_request(sent_at=24.0, status=0, ended_at=25.4, node=3)], [], ""),
+        (
+            [client_request(sent_at=30.0, status=0, ended_at=31.0, node=3)],
+            [run_at(30.1, target_id="t4-0")],
+            "",
+        ),
     ],
 )
 def test_find_violations_reports_each_kind_of_violation(requests, runs, expected):
@@ -75,6 +104,9 @@
     history.pools.update({"t": "shop", "left": "shop"})
     history.record_drain_ack("left", 10.5)
     history.record_config(2, "stock", 11.0)
+    history.record_planned_stop(3, 20.0)
+    history.record_node_fault(3, 20.0)
+    history.record_node_fault(5, 23.0)
     for item in requests:
         history.requests[item.request_id] = item
     history.runs.extend(runs)
