Cancel what is left at a stop of the own interface without holding up its exit

Cause: at the end of a stop, peers were asked one after the other to cancel the requests that were left, on the thread that ends the process; a peer that does not answer could hold it beyond the drain timeout. Found by reading; not shown by a test.

Change: a thread of its own cancels them, once.

--- a/dogwooddock/node.py
+++ b/dogwooddock/node.py
@@ -301,10 +301,12 @@
             time.monotonic(), LEAVE_PROPAGATION_S, self.settings.drain_timeout_s
         )
         self.ingress.shutdown = shutdown
+        # Peers may take a while to confirm that they have cancelled.
+        giving_up = threading.Thread(target=self.watcher.cancel_all, daemon=True)
         while not shutdown.may_exit(time.monotonic(), self._unfinished_work()):
             time.sleep(IDLE_POLL_PERIOD_S)
-            if shutdown.gives_up(time.monotonic()):
-                self.watcher.cancel_all()
+            if shutdown.gives_up(time.monotonic()) and giving_up.ident is None:
+                giving_up.start()
 
     def _unfinished_work(self) -> UnfinishedWork:
         requests = self.router_server.unanswered + self.local_server.unanswered
