Let a node of the own interface stop though nobody reads its log

What operators saw: once the reader of its standard error had gone, `dogwooddock node` did not end at a stop signal and was killed after its drain timeout; a reload signal did the same to the thread that waits for signals.

Cause: the first log line of the stop raised BrokenPipeError, which left the stop half done while other threads went on.

Change: the log of the own interface drops what its stream does not take.

--- a/dogwooddock/logs.py
+++ b/dogwooddock/logs.py
@@ -68,6 +68,31 @@
         """Do nothing; lines are not buffered."""
 
 
+class _LossyStream:
+    """Write to a stream, and leave out what it does not take.
+
+    A log that nobody reads any more must not fail what is logged.
+    """
+
+    def __init__(self, stream: TextIO):
+        self._stream = stream
+
+    def write(self, text: str) -> int:
+        """Write text, or drop it if the stream is closed or full."""
+        try:
+            self._stream.write(text)
+        except (OSError, ValueError):
+            pass
+        return len(text)
+
+    def flush(self) -> None:
+        """Flush the stream unless it is closed or full."""
+        try:
+            self._stream.flush()
+        except (OSError, ValueError):
+            pass
+
+
 class _RateLimitProcessor:
     """Drop an event that exceeds the writer's rate before it is rendered."""
 
@@ -100,7 +125,7 @@
         level: Name of the lowest level to log.
         context: Key-value pairs to add to every line.
     """
-    _configure(level, sys.stderr, [], context)
+    _configure(level, cast(TextIO, _LossyStream(sys.stderr)), [], context)
 
 
 def _configure(
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -75,3 +75,18 @@
         process.kill()
         process.wait()
         process.stderr.close()
+
+
+@pytest.mark.parametrize("signums", [[signal.SIGTERM], [signal.SIGHUP, signal.SIGTERM]])
+def test_node_whose_log_nobody_reads_serves_on_and_stops(signums):
+    """Guards against a log line that ends the process, or the stop in its middle."""
+    process = subprocess.Popen(NODE, stderr=subprocess.PIPE, text=True)
+    try:
+        assert _read_until(process, "node_started")
+        process.stderr.close()
+        for signum in signums:
+            process.send_signal(signum)
+        assert process.wait(STOP_LIMIT_S) == 0
+    finally:
+        process.kill()
+        process.wait()
