Reproduce a node that ends since an address is held at its start

What operators see: a node that starts while its predecessor still drains, or while another program or an outgoing connection has one of its ports, ends with code 1 and a traceback; once the predecessor has ended too, nobody is there.

--- /dev/null
+++ b/tests/test_held_addresses.py
@@ -0,0 +1,141 @@
+"""Nodes that start while another process holds an address that they listen on."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+
+from bench.settingsfile import PORTS_PER_NODE, free_ports, write_settings
+
+HOST = "127.0.0.1"
+ABSENT = (HOST, 9)
+LIMIT_S = 15.0
+POLL_PERIOD_S = 0.02
+# Port of each address of a node, counted from the first.
+PORTS = {"caller": 0, "ready": 2, "heartbeat": 3, "peer": 4}
+
+
+class NodeProcess:
+    """A node on the platform, whose store and target are away."""
+
+    def __init__(self, folder, base, **settings):
+        path = folder / "settings.json"
+        write_settings(path, 0, HOST, base, ABSENT, "shop", ABSENT, **settings)
+        self._caller = (HOST, base)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "dogwooddock.platform"],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+            env={**os.environ, "DOGWOODDOCK_NODE_FILE": str(path)},
+        )
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.process.kill()
+        self.process.wait()
+        self.process.stdout.close()
+
+    def read_until(self, text):
+        return any(text in line for line in self.process.stdout)
+
+    def serves(self):
+        """Report whether a caller gets an answer within the limit."""
+        deadline = time.monotonic() + LIMIT_S
+        while time.monotonic() < deadline and self.process.poll() is None:
+            if _is_answered(self._caller):
+                return self.process.poll() is None
+            time.sleep(POLL_PERIOD_S)
+        return False
+
+
+def _is_answered(address):
+    try:
+        with socket.create_connection(address, timeout=1.0) as sock:
+            sock.sendall(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+            return sock.recv(64).startswith(b"HTTP/1.1 ")
+    except OSError:
+        return False
+
+
+def _hold_as_listener(address):
+    return [socket.create_server(address)]
+
+
+def _hold_as_outgoing_connection(address):
+    """Return a connection whose local address is the given one, and its listener."""
+    server = socket.create_server((HOST, 0))
+    sock = socket.socket()
+    sock.bind(address)
+    sock.connect(server.getsockname())
+    return [sock, server]
+
+
+def _close(held):
+    for sock in held:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        sock.close()
+
+
+@pytest.mark.parametrize("name", PORTS)
+@pytest.mark.parametrize("hold", [_hold_as_listener, _hold_as_outgoing_connection])
+def test_node_starts_once_an_address_that_another_process_holds_is_free(
+    tmp_path, hold, name
+):
+    base = free_ports(PORTS_PER_NODE)
+    held = hold((HOST, base + PORTS[name]))
+    with NodeProcess(tmp_path, base) as node:
+        assert node.read_until("address_in_use")
+        _close(held)
+        assert node.serves()
+
+
+@pytest.mark.parametrize("lead_s", [0.0, 0.5])
+def test_node_that_starts_while_its_predecessor_drains_serves_after_it(
+    tmp_path, lead_s
+):
+    base = free_ports(PORTS_PER_NODE)
+    with NodeProcess(tmp_path, base) as old:
+        assert old.serves()
+        old.process.send_signal(signal.SIGTERM)
+        time.sleep(lead_s)
+        with NodeProcess(tmp_path, base) as new:
+            assert old.process.wait(LIMIT_S) == 0
+            assert new.serves()
+
+
+@pytest.mark.parametrize("signum", [signal.SIGTERM, signal.SIGINT])
+def test_stop_signal_ends_a_node_that_waits_for_an_address(tmp_path, signum):
+    base = free_ports(PORTS_PER_NODE)
+    held = _hold_as_listener((HOST, base))
+    with NodeProcess(tmp_path, base) as node:
+        assert node.read_until("address_in_use")
+        node.process.send_signal(signal.SIGHUP)
+        node.process.send_signal(signum)
+        assert node.process.wait(LIMIT_S) == 0
+    _close(held)
+
+
+@pytest.mark.parametrize(
+    ("setting", "value"),
+    [("listen", {"outbound": "no-address:1"}), ("ip", "no-address")],
+)
+def test_address_that_is_none_is_refused_by_the_name_of_its_setting(
+    tmp_path, setting, value
+):
+    base = free_ports(PORTS_PER_NODE)
+    listen = {n: f"{HOST}:{base + p}" for p, n in enumerate(("outbound", "inbound"))}
+    listen |= {"ready": f"{HOST}:{base + 2}", "control": f"{HOST}:{base + 3}"}
+    settings = {setting: {**listen, **value} if setting == "listen" else value}
+    with NodeProcess(tmp_path, base, **settings) as node:
+        assert node.process.wait(LIMIT_S) == 2
+        text = node.process.stdout.read()
+    assert f"{setting}" in text, json.dumps(text)
+    assert "Traceback" not in text
