Wait at the start of a node for addresses that another process holds

What operators saw: a node that started while its predecessor still drained, or while another process had one of its ports, ended with code 1 and a traceback; nobody was there once the predecessor had ended.

Cause: sockets were opened one after the other by the servers, and an error of any of them left the process. A condition that ends by itself was treated as a fault of the program.

Change: before anything else is built, the sockets of all addresses are bound, and listen together once none is held; until then the node tries again every 50 ms. Callers that find nobody turn to other nodes at once, as nothing is bound alone. What can never be bound, or is named twice, is refused by its setting.

--- a/dogwooddock/http1/server.py
+++ b/dogwooddock/http1/server.py
@@ -12,6 +12,7 @@
 
 import structlog
 
+from ..listening import LISTEN_BACKLOG, Address, bind_socket
 from .messages import HttpError, Request, RequestParser, render_response
 from .sockets import tune_socket
 
@@ -21,7 +22,6 @@
 # Time in which a client closes a connection after its last response.
 LINGER_S = 1.0
 WRITE_HIGH_WATER_BYTES = 256 * 1024
-LISTEN_BACKLOG = 1024
 RESET_DELAY_S = 0.01
 
 log = structlog.get_logger()
@@ -366,14 +366,12 @@
         """Return the bytes of responses that connections have not taken yet."""
         return sum(conn.unwritten_bytes for conn in self.connections)
 
-    async def start(self, address: tuple[str, int]) -> tuple[str, int]:
-        """Start listening and return the bound address."""
+    async def start(self, where: Address | socket.socket) -> Address:
+        """Start listening on an address or a bound socket; return the address."""
         loop = asyncio.get_running_loop()
+        sock = where if isinstance(where, socket.socket) else bind_socket(where)
         self._server = await loop.create_server(
-            lambda: _Connection(self),
-            *address,
-            backlog=LISTEN_BACKLOG,
-            reuse_address=True,
+            lambda: _Connection(self), sock=sock, backlog=LISTEN_BACKLOG
         )
         self._sweeper = loop.create_task(self._sweep())
         host, port = self._server.sockets[0].getsockname()[:2]
--- /dev/null
+++ b/dogwooddock/listening.py
@@ -0,0 +1,174 @@
+"""Listening sockets, reserved together before a node serves on any of them."""
+
+__all__ = [
+    "LISTEN_BACKLOG",
+    "RETRY_PERIOD_S",
+    "Address",
+    "AddressReservation",
+    "ListenAddress",
+    "ListenSockets",
+    "bind_socket",
+]
+
+import errno
+import socket
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import structlog
+
+from .errors import InvalidSettings
+
+Address = tuple[str, int]
+
+RETRY_PERIOD_S = 0.05
+REPORT_PERIOD_S = 10.0
+LISTEN_BACKLOG = 1024
+# What another process, the VM's network or a limit causes may end by itself.
+TRANSIENT_ERRORS = frozenset(
+    {
+        errno.EADDRINUSE,
+        errno.EADDRNOTAVAIL,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    }
+)
+
+log = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class ListenAddress:
+    """An address to listen on.
+
+    Args:
+        name: What it is for.
+        setting: Name of the setting that it comes from.
+        address: IP address and port; port 0 lets the system choose one.
+    """
+
+    name: str
+    setting: str
+    address: Address
+
+    def __str__(self) -> str:
+        return f"{self.address[0]}:{self.address[1]}"
+
+
+def bind_socket(address: Address) -> socket.socket:
+    """Return a TCP socket that is bound to an address and does not listen yet."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+class ListenSockets:
+    """Listening sockets by the names of their addresses."""
+
+    def __init__(self, sockets: dict[str, socket.socket]):
+        self._sockets = sockets
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._sockets
+
+    def take(self, name: str) -> socket.socket:
+        """Return the socket of an address, which the caller closes from now on."""
+        return self._sockets.pop(name)
+
+
+class AddressReservation:
+    """Bind sockets to all addresses, and listen once none is held by another process.
+
+    Until then no connection is accepted on any of them: a caller that finds nobody
+    turns to another node at once.
+
+    Args:
+        addresses: Addresses to reserve.
+
+    Raises:
+        InvalidSettings: Two settings name the same address.
+    """
+
+    def __init__(self, addresses: Iterable[ListenAddress]):
+        self._addresses = tuple(addresses)
+        self._sockets: dict[str, socket.socket] = {}
+        self._check_distinct()
+        self._reported: tuple[str, float] = ("", 0.0)
+
+    def attempt(self, now: float) -> ListenSockets | None:
+        """Try to reserve what is missing; return the sockets once it has all of them.
+
+        Call it again after ``RETRY_PERIOD_S`` while it returns None.
+
+        Args:
+            now: Present time, in seconds.
+
+        Raises:
+            InvalidSettings: An address can never be listened on.
+        """
+        for act in (self._bind, self._listen):
+            for wanted in self._addresses:
+                try:
+                    act(wanted)
+                except OSError as exc:
+                    self._on_failure(wanted, exc, now)
+                    return None
+        sockets, self._sockets = self._sockets, {}
+        return ListenSockets(sockets)
+
+    def close(self) -> None:
+        """Release what is reserved."""
+        for sock in self._sockets.values():
+            sock.close()
+        self._sockets.clear()
+
+    def _check_distinct(self) -> None:
+        settings: dict[Address, str] = {}
+        for wanted in self._addresses:
+            other = settings.setdefault(wanted.address, wanted.setting)
+            if other != wanted.setting and wanted.address[1]:
+                raise InvalidSettings(
+                    f"{wanted.setting}: {wanted} is that of {other} too; change one"
+                )
+
+    def _bind(self, wanted: ListenAddress) -> None:
+        if wanted.name in self._sockets:
+            return
+        self._sockets[wanted.name] = bind_socket(wanted.address)
+
+    def _listen(self, wanted: ListenAddress) -> None:
+        self._sockets[wanted.name].listen(LISTEN_BACKLOG)
+
+    def _on_failure(self, wanted: ListenAddress, exc: OSError, now: float) -> None:
+        if exc.errno not in TRANSIENT_ERRORS:
+            self.close()
+            raise InvalidSettings(
+                f"{wanted.setting}: cannot listen on {wanted} ({exc}); correct it"
+            ) from exc
+        self._release_listening()
+        setting, reported_at = self._reported
+        if setting == wanted.setting and now - reported_at < REPORT_PERIOD_S:
+            return
+        self._reported = (wanted.setting, now)
+        log.warning(
+            "address_unavailable",
+            setting=wanted.setting,
+            address=str(wanted),
+            error=exc.strerror,
+            remedy="end the process that holds it, or change the setting",
+        )
+
+    def _release_listening(self) -> None:
+        """Close sockets that listen already, so that none takes connections alone."""
+        for name, sock in list(self._sockets.items()):
+            if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+                del self._sockets[name]
+                sock.close()
--- a/dogwooddock/mesh/listeners.py
+++ b/dogwooddock/mesh/listeners.py
@@ -12,8 +12,8 @@
 from ..errors import DogwooddockError
 from ..http1.messages import Request
 from ..http1.server import Exchange, HttpServer
+from ..listening import ListenSockets
 from ..policy.lifetimes import Heartbeat
-from .environment import NodeEnvironment
 from .heartbeats import TargetMonitor
 from .ingress import Ingress
 from .metrics import dump_state, render_metrics
@@ -60,13 +60,13 @@
         self._heartbeat_server = HttpServer(self._on_heartbeat)
         self._operator_server = HttpServer(self._on_operator)
 
-    async def start(self, env: NodeEnvironment) -> None:
-        """Start listening; the caller port opens after heartbeats and probes."""
-        await self._heartbeat_server.start(env.heartbeat_listen)
-        await self._ready_server.start(env.ready_listen)
-        await self.caller_server.start(env.caller_listen)
-        if env.operator_listen is not None:
-            await self._operator_server.start(env.operator_listen)
+    async def start(self, sockets: ListenSockets) -> None:
+        """Start serving; the caller port opens after heartbeats and probes."""
+        await self._heartbeat_server.start(sockets.take("heartbeat"))
+        await self._ready_server.start(sockets.take("ready"))
+        await self.caller_server.start(sockets.take("caller"))
+        if "operator" in sockets:
+            await self._operator_server.start(sockets.take("operator"))
 
     @property
     def servers(self) -> tuple[HttpServer, ...]:
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -14,6 +14,7 @@
 
 from ..errors import DogwooddockError
 from ..http1.messages import Request
+from ..listening import ListenSockets
 from ..peers.linkcodec import (
     Frame,
     MarksFrame,
@@ -192,20 +193,24 @@
 
     # Life cycle.
 
-    async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then drain requests in flight and return."""
+    async def run(self, sockets: ListenSockets) -> None:
+        """Serve until SIGTERM or SIGINT, then drain requests in flight and return.
+
+        Args:
+            sockets: Sockets of its addresses.
+        """
         for signum in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(signum, self._stopping.set)
         self._loop.add_signal_handler(signal.SIGHUP, self.reload)
-        await self.start()
+        await self.start(sockets)
         await self._stopping.wait()
         await self.stop()
 
-    async def start(self) -> None:
+    async def start(self, sockets: ListenSockets) -> None:
         """Start the servers and the background jobs."""
         env = self.env
-        await self.links.start(env.peer_listen)
-        await self.listeners.start(env)
+        await self.links.start(sockets.take("peer"))
+        await self.listeners.start(sockets)
         jobs = [
             *self.store_reader.jobs,
             self.target_monitor.recover,
--- a/dogwooddock/peers/linkserver.py
+++ b/dogwooddock/peers/linkserver.py
@@ -3,7 +3,9 @@
 __all__ = ["LinkServer"]
 
 import asyncio
+import socket
 
+from ..listening import LISTEN_BACKLOG, Address, bind_socket
 from ..mesh.calls import MeshReply
 from ..mesh.gate import Gate
 from ..mesh.gatecalls import GateCall
@@ -68,12 +70,13 @@
         self._links: set[_InboundLink] = set()
         self._server: asyncio.Server | None = None
 
-    async def start(self, address: tuple[str, int]) -> tuple[str, int]:
-        """Start listening and return the bound address."""
+    async def start(self, where: Address | socket.socket) -> Address:
+        """Start listening on an address or a bound socket; return the address."""
+        sock = where if isinstance(where, socket.socket) else bind_socket(where)
         self._server = await asyncio.get_running_loop().create_server(
             lambda: _InboundLink(self._gate, self._handler, self._links).link,
-            *address,
-            reuse_address=True,
+            sock=sock,
+            backlog=LISTEN_BACKLOG,
         )
         host, port = self._server.sockets[0].getsockname()[:2]
         return host, port
--- a/dogwooddock/platform/command.py
+++ b/dogwooddock/platform/command.py
@@ -16,6 +16,7 @@
 from .adapter import platform_adapter
 from .names import SETTINGS_VARIABLE
 from .settings import SettingsFile
+from .startup import NodeStart
 
 EXIT_INVALID_SETTINGS = 2
 
@@ -26,9 +27,13 @@
 
 
 async def _serve(settings_file: SettingsFile) -> None:
-    env = settings_file.read()
-    seed = int.from_bytes(os.urandom(8), "big")
-    await MeshNode(env, platform_adapter(env, settings_file), Random(seed)).run()
+    start = NodeStart(settings_file)
+    sockets = await start.reserve_addresses()
+    if sockets is None:
+        return
+    env, seed = start.env, int.from_bytes(os.urandom(8), "big")
+    node = MeshNode(env, platform_adapter(env, settings_file), Random(seed))
+    await node.run(sockets)
 
 
 @app.command()
--- a/dogwooddock/platform/settings.py
+++ b/dogwooddock/platform/settings.py
@@ -1,6 +1,6 @@
 """Settings file that the platform writes for each node process."""
 
-__all__ = ["SettingsFile", "read_settings"]
+__all__ = ["SettingsFile", "listen_addresses", "read_settings"]
 
 import json
 import os
@@ -10,6 +10,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 
 from ..errors import InvalidSettings
+from ..listening import ListenAddress
 from ..mesh.environment import Bounds, NodeEnvironment
 from .values import FormatError, parse_address, parse_duration
 
@@ -109,6 +110,20 @@
         raise InvalidSettings(f"settings file {path}: {exc}; correct it") from exc
 
 
+def listen_addresses(env: NodeEnvironment) -> list[ListenAddress]:
+    """Return the addresses that a node listens on, with the settings that name them."""
+    addresses = [
+        ListenAddress("peer", "ip and port_range", env.peer_listen),
+        ListenAddress("heartbeat", "listen.control", env.heartbeat_listen),
+        ListenAddress("ready", "listen.ready", env.ready_listen),
+        ListenAddress("caller", "listen.outbound", env.caller_listen),
+    ]
+    if env.operator_listen is not None:
+        operator = ListenAddress("operator", "--operator-port", env.operator_listen)
+        addresses.append(operator)
+    return addresses
+
+
 class SettingsFile:
     """Read the settings file of this process and detect changes to it.
 
--- a/tests/mesh_helpers.py
+++ b/tests/mesh_helpers.py
@@ -10,9 +10,11 @@
 from bench.settingsfile import free_ports
 from dogwooddock.http1.client import ConnectionPool, RequestFailure
 from dogwooddock.http1.messages import Response, render_request
+from dogwooddock.listening import RETRY_PERIOD_S, AddressReservation
 from dogwooddock.mesh.environment import Bounds, NodeEnvironment
 from dogwooddock.mesh.node import MeshNode
 from dogwooddock.platform.adapter import platform_adapter
+from dogwooddock.platform.settings import listen_addresses
 
 WAIT_S = 5.0
 
@@ -147,7 +149,10 @@
 
 async def start_node(env):
     node = MeshNode(env, platform_adapter(env, FakeSettings(env)), Random(7))
-    await node.start()
+    reservation = AddressReservation(listen_addresses(env))
+    while (sockets := reservation.attempt(0.0)) is None:
+        await asyncio.sleep(RETRY_PERIOD_S)
+    await node.start(sockets)
     return node
 
 
--- a/tests/test_held_addresses.py
+++ b/tests/test_held_addresses.py
@@ -92,7 +92,7 @@
     base = free_ports(PORTS_PER_NODE)
     held = hold((HOST, base + PORTS[name]))
     with NodeProcess(tmp_path, base) as node:
-        assert node.read_until("address_in_use")
+        assert node.read_until("address_unavailable")
         _close(held)
         assert node.serves()
 
@@ -116,7 +116,7 @@
     base = free_ports(PORTS_PER_NODE)
     held = _hold_as_listener((HOST, base))
     with NodeProcess(tmp_path, base) as node:
-        assert node.read_until("address_in_use")
+        assert node.read_until("address_unavailable")
         node.process.send_signal(signal.SIGHUP)
         node.process.send_signal(signum)
         assert node.process.wait(LIMIT_S) == 0
