Move the server side of an HTTP connection to a module of its own

Change: connection.py has what happens on a connection, server.py the listener; ServerState holds what they share.

--- /dev/null
+++ b/dogwooddock/http1/connection.py
@@ -0,0 +1,370 @@
+"""Server side of an HTTP/1.1 connection, with pipelining and timeouts."""
+
+__all__ = ["Connection", "Exchange", "Handler", "ServerLimits", "ServerState"]
+
+import asyncio
+import socket
+import struct
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import cast
+
+import structlog
+
+from .messages import HttpError, Request, RequestParser, render_response
+from .sockets import tune_socket
+
+MAX_PIPELINED_REQUESTS = 64
+SLOW_READER_TIMEOUT_S = 10.0
+# Time in which a client closes a connection after its last response.
+LINGER_S = 1.0
+WRITE_HIGH_WATER_BYTES = 256 * 1024
+RESET_DELAY_S = 0.01
+
+log = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """Size limits and timeouts of client connections.
+
+    Args:
+        max_header_bytes: Largest header block, in bytes.
+        max_body_bytes: Largest body, in bytes.
+        header_timeout_s: Longest pause within an incomplete request, in seconds.
+        idle_timeout_s: Longest pause between requests, in seconds.
+    """
+
+    max_header_bytes: int = 64 * 1024
+    max_body_bytes: int = 64 * 1024 * 1024
+    header_timeout_s: float = 5.0
+    idle_timeout_s: float = 60.0
+
+
+class Exchange:
+    """A received request and its response.
+
+    Args:
+        request: The complete request.
+        conn: Connection that it arrived on.
+        arrived_at: Loop time of its last byte, in seconds.
+
+    ``on_disconnect`` is called if the client disconnects before the response.
+    """
+
+    __slots__ = ("_conn", "_response", "arrived_at", "on_disconnect", "request")
+
+    def __init__(self, request: Request, conn: "Connection", arrived_at: float):
+        self.request = request
+        self.arrived_at = arrived_at
+        self.on_disconnect: Callable[[], None] | None = None
+        self._conn = conn
+        self._response: tuple[int, bytes, bytes] | None = None
+
+    @property
+    def answered(self) -> bool:
+        """Report whether ``respond`` was called."""
+        return self._response is not None
+
+    @property
+    def disconnected(self) -> bool:
+        """Report whether the client connection is closed."""
+        return self._conn.closed
+
+    @property
+    def conn_id(self) -> int:
+        """Return a number that all requests of the connection share."""
+        return id(self._conn)
+
+    @property
+    def peer_host(self) -> str:
+        """Return the client's IP address, or an empty string if it is unknown."""
+        return self._conn.peer_host
+
+    def respond(self, status: int, block: bytes, body: bytes) -> None:
+        """Respond; pipelined responses are written in the order of the requests.
+
+        A second call has no effect.
+
+        Args:
+            status: Status code.
+            block: Rendered header lines, without Content-Length and Connection.
+            body: Complete body.
+        """
+        if self._response is None:
+            self._response = (status, block, body)
+            self._conn.flush()
+
+    def write_raw(self, data: bytes, close: bool = False, reset: bool = False) -> None:
+        """Write unframed bytes in place of the response.
+
+        Used by simulated servers that send malformed responses.
+
+        Args:
+            data: Bytes to write.
+            close: Whether to close the connection afterwards.
+            reset: Whether to reset the connection afterwards; ``close`` has priority.
+        """
+        self._conn.write_raw(self, data, close, reset)
+
+    def write_before(self, data: bytes) -> None:
+        """Write unframed bytes before the response; used by simulated servers."""
+        self._conn.write_before(data)
+
+
+Handler = Callable[[Exchange], None]
+
+
+class ServerState:
+    """What the connections of a server share.
+
+    ``accepted`` counts the connections accepted since the start.
+
+    Args:
+        handler: Called with each exchange on the event loop; must not block.
+        limits: Size limits and timeouts of connections; new ones hold from the next
+            request of each connection on.
+
+    ``head_check``, if set, is called on the event loop with each request that has a
+    body, before the body is received. If it answers the request, the handler is not
+    called, and the body is received within the same limits and discarded.
+    """
+
+    def __init__(self, handler: Handler, limits: ServerLimits | None = None):
+        self.handler = handler
+        self.head_check: Handler | None = None
+        self.limits = limits or ServerLimits()
+        self.connections: set[Connection] = set()
+        self.accepted = 0
+        self.draining = False
+        self.closing_idle = False
+
+
+class Connection(asyncio.Protocol):
+    """Read requests, and write their responses in the same order.
+
+    Args:
+        server: State of the server that accepted the connection.
+    """
+
+    def __init__(self, server: ServerState):
+        self._server = server
+        self._parser = RequestParser(
+            server.limits.max_header_bytes, server.limits.max_body_bytes
+        )
+        self._pending: deque[Exchange] = deque()
+        self._refused: deque[Exchange] = deque()
+        self._write_paused_at: float | None = None
+        self._input_closed = False
+        self._lingering = False
+        self._loop = asyncio.get_running_loop()
+        self._last_activity_at = self._loop.time()
+        self._transport: asyncio.Transport
+        self.closed = False
+        self.peer_host = ""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start serving the connection."""
+        self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        tune_socket(self._transport)
+        peer = self._transport.get_extra_info("peername")
+        self.peer_host = peer[0] if peer else ""
+        self._server.connections.add(self)
+        self._server.accepted += 1
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what the client sends, and handle the requests that it completes."""
+        if self._input_closed and not self._parser.drops_body:
+            return
+        self._last_activity_at = self._loop.time()
+        parser = self._parser
+        if not parser.in_message:
+            parser.max_header_bytes = self._server.limits.max_header_bytes
+            parser.max_body_bytes = self._server.limits.max_body_bytes
+        was_dropping = parser.drops_body
+        parser.refuses_head = self._refuses_head if self._server.head_check else None
+        error = None
+        try:
+            requests = parser.feed(data)
+        except HttpError as exc:
+            error = exc
+            requests = parser.take_completed() if parser.drops_body else []
+        if error is None and parser.wants_continue and not self._pending:
+            parser.wants_continue = False
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        for request in requests:
+            self._handle_request(request)
+        if error is not None:
+            self._reject(error)
+        elif was_dropping:
+            self._close_if_done()
+
+    def _refuses_head(self, head: Request) -> bool:
+        """Let the server answer a request from its head; return whether it did."""
+        check = self._server.head_check
+        if check is None or self._input_closed:
+            return False
+        exchange = Exchange(head, self, self._last_activity_at)
+        try:
+            check(exchange)
+        except Exception:
+            # The handler decides once the request is complete.
+            log.exception("head_check_failed", path=head.path.decode("latin-1"))
+        if exchange.answered:
+            self._refused.append(exchange)
+        return exchange.answered
+
+    def _handle_request(self, request: Request) -> None:
+        if self._input_closed:
+            return
+        refused = bool(self._refused) and self._refused[0].request is request
+        exchange = (
+            self._refused.popleft()
+            if refused
+            else Exchange(request, self, self._last_activity_at)
+        )
+        self._pending.append(exchange)
+        self._input_closed = not request.keep_alive
+        if len(self._pending) >= MAX_PIPELINED_REQUESTS:
+            self._transport.pause_reading()
+        if refused:
+            self.flush()
+            return
+        try:
+            self._server.handler(exchange)
+        except Exception:
+            # A failing handler must not end the other requests of the connection.
+            log.exception("handler_failed", path=request.path.decode("latin-1"))
+            exchange.respond(502, b"", b"the node failed; the request may have run\n")
+
+    def _reject(self, error: HttpError) -> None:
+        if self._parser.drops_body:
+            self._parser.drops_body = False  # It is answered already.
+            self._input_closed = True
+            self._close_if_done()
+            return
+        exchange = Exchange(Request(keep_alive=False), self, self._last_activity_at)
+        self._pending.append(exchange)
+        self._input_closed = True
+        exchange.respond(error.status, b"", f"{error}\n".encode())
+
+    def flush(self) -> None:
+        """Write the responses that are ready, in the order of the requests."""
+        pending = self._pending
+        while pending and pending[0].answered and not self.closed:
+            exchange = pending.popleft()
+            response = exchange._response
+            assert response is not None
+            if self._server.draining and not pending and not self._parser.in_message:
+                self._input_closed = True
+            close = self._input_closed and not pending
+            to_head = exchange.request.method == b"HEAD"
+            self._transport.write(render_response(*response, close, to_head))
+            self._last_activity_at = self._loop.time()
+            if close:
+                self._close_if_done()
+                return
+        if len(pending) < MAX_PIPELINED_REQUESTS and self._write_paused_at is None:
+            self._transport.resume_reading()
+
+    def _close_if_done(self) -> None:
+        """Close once every request is answered and no discarded body is still arriving.
+
+        A client whose connection is closed while it sends may lose the response.
+        """
+        if self._input_closed and not self._pending and not self._parser.drops_body:
+            self._linger()
+
+    def _linger(self) -> None:
+        """End the responses, and discard what the client still sends until it closes.
+
+        A close with unread data resets the connection, and the client could lose the
+        response.
+        """
+        if self._lingering or self.closed or self._transport.is_closing():
+            return
+        self._input_closed = self._lingering = True
+        self._transport.write_eof()
+        self._transport.resume_reading()
+
+    def write_raw(
+        self, exchange: Exchange, data: bytes, close: bool, reset: bool
+    ) -> None:
+        """Write unframed bytes in place of the response of an exchange."""
+        if exchange in self._pending:
+            self._pending.remove(exchange)
+        if self.closed:
+            return
+        self._transport.write(data)
+        if close:
+            self._transport.close()
+        elif reset:
+            self._loop.call_later(RESET_DELAY_S, self.abort)
+
+    @property
+    def unwritten_bytes(self) -> int:
+        """Return the bytes that the kernel has not taken yet."""
+        return 0 if self.closed else self._transport.get_write_buffer_size()
+
+    def write_before(self, data: bytes) -> None:
+        """Write bytes ahead of the responses that are due."""
+        if not self.closed:
+            self._transport.write(data)
+
+    def abort(self) -> None:
+        """Close the connection with a TCP RST (SO_LINGER with timeout 0)."""
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None and not self.closed:
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+        self._transport.abort()
+
+    def pause_writing(self) -> None:
+        """Read no more while the client does not take its responses."""
+        self._write_paused_at = self._loop.time()
+        self._transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        """Read on, once the client has taken its responses."""
+        self._write_paused_at = None
+        self._transport.resume_reading()
+        if self._server.closing_idle:
+            self.sweep(self._loop.time())
+
+    def eof_received(self) -> bool:
+        """Close the connection of a client that sends no more."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the requests that are not answered."""
+        self.closed = True
+        self._server.connections.discard(self)
+        for exchange in self._pending:
+            if not exchange.answered and exchange.on_disconnect is not None:
+                exchange.on_disconnect()
+        self._pending.clear()
+
+    def sweep(self, now: float) -> None:
+        """Apply the timeouts, and close an idle connection while draining."""
+        if self._lingering:
+            limit_s = SLOW_READER_TIMEOUT_S if self.unwritten_bytes else LINGER_S
+            if now - self._last_activity_at > limit_s:
+                self._transport.abort()
+            return
+        if self._write_paused_at is not None:
+            if now - self._write_paused_at > SLOW_READER_TIMEOUT_S:
+                self._transport.abort()
+            return
+        if self._pending:
+            return
+        idle_s = now - self._last_activity_at
+        limits = self._server.limits
+        if self._parser.in_message:
+            if idle_s > limits.header_timeout_s:
+                self._reject(HttpError(408, "the request is incomplete; resend it"))
+        elif idle_s > limits.idle_timeout_s or self._server.closing_idle:
+            self._last_activity_at = now
+            self._linger()
