Let metrics and listeners of mesh/ read an interface instead of the node itself

Cause: metrics, listeners and where imported the node that imports them, and configproofs the reader of the store that imports it, so none of twelve modules could be read or tested without the others.

Change: inspected.py names what operators may see of a node, as on the own interface; ConfigReader names what proofs ask of the reader; histograms have a module of their own. No behaviour changed.

--- a/dogwooddock/mesh/configproofs.py
+++ b/dogwooddock/mesh/configproofs.py
@@ -1,11 +1,11 @@
 """Proofs that this node's configuration is the newest, from peers and the store."""
 
-__all__ = ["ConfigProofs"]
+__all__ = ["ConfigProofs", "ConfigReader"]
 
 import asyncio
+from abc import ABC, abstractmethod
 from collections.abc import Callable
 from random import Random
-from typing import TYPE_CHECKING
 
 import structlog
 
@@ -18,9 +18,6 @@
 from .config import ConfigHolder
 from .fleet import Fleet
 
-if TYPE_CHECKING:
-    from .storereader import StoreReader
-
 CHECK_PERIOD_S = 0.1
 # A question whose answer has not come after this long is forgotten.
 ANSWER_TIMEOUT_S = 10.0
@@ -30,6 +27,30 @@
 log = structlog.get_logger()
 
 
+class ConfigReader(ABC):
+    """What may read the configuration from the store.
+
+    ``active`` tells whether this node reads the store, ``leads`` whether it is one of
+    those that read the configuration for all.
+    """
+
+    active: bool
+    leads: bool
+
+    @property
+    @abstractmethod
+    def store_lost(self) -> bool:
+        """Report whether this node reads the store but cannot reach it."""
+
+    @abstractmethod
+    async def read_config(self) -> None:
+        """Read the configuration once.
+
+        Raises:
+            PlatformError: The store could not be read.
+        """
+
+
 class ConfigProofs:
     """Keep the age of the configuration low, and tell what it permits.
 
@@ -71,7 +92,7 @@
         self._reading: asyncio.Task[None] | None = None
         self._was_stale = True
         self._stale_since = clock()
-        self._reader: StoreReader | None = None
+        self._reader: ConfigReader | None = None
         self._configured_at: float | None = None
 
     # What the age permits.
@@ -145,7 +166,7 @@
         if is_newer:
             self._sources.note_proof()
 
-    async def run(self, reader: "StoreReader") -> None:
+    async def run(self, reader: ConfigReader) -> None:
         """Ask for proofs and log changes of state, until cancelled."""
         self._reader = reader
         while True:
@@ -159,7 +180,7 @@
         table = self._config.table
         return table is not None and table.accounts is not None
 
-    def _ask_if_due(self, reader: "StoreReader") -> None:
+    def _ask_if_due(self, reader: ConfigReader) -> None:
         now = self._clock()
         waited_s = self._age.waited_s(now)
         role = ProofRole.READER if reader.active else ProofRole.OTHER
@@ -199,7 +220,7 @@
         for asked_at_us in [at for at in self._asked if at < oldest_us]:
             del self._asked[asked_at_us]
 
-    async def _read_store(self, reader: "StoreReader") -> None:
+    async def _read_store(self, reader: ConfigReader) -> None:
         try:
             await reader.read_config()
         except PlatformError as exc:
--- a/dogwooddock/mesh/listeners.py
+++ b/dogwooddock/mesh/listeners.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 import structlog
 
@@ -16,13 +15,11 @@
 from ..policy.lifetimes import Heartbeat
 from .heartbeats import TargetMonitor
 from .ingress import Ingress
+from .inspected import InspectedNode
 from .metrics import dump_state, render_metrics
 from .routing import DesiredState
 from .where import UnknownRequest, where_to
 
-if TYPE_CHECKING:
-    from .node import MeshNode
-
 ACK_POLL_PERIOD_S = 0.02
 ACK_TIMEOUT_S = 0.7
 
@@ -47,7 +44,7 @@
         target_monitor: TargetMonitor,
         ready_path: bytes,
         read_heartbeat: Callable[[Request], Heartbeat | tuple[str, int, int]],
-        node: "MeshNode",
+        node: InspectedNode,
     ):
         self._loop = asyncio.get_running_loop()
         self._target_monitor = target_monitor
--- a/dogwooddock/mesh/metrics.py
+++ b/dogwooddock/mesh/metrics.py
@@ -1,61 +1,28 @@
 """Prometheus metrics and the state dump of a node."""
 
-__all__ = ["LatencyHistogram", "dump_state", "render_metrics"]
+__all__ = ["dump_state", "render_metrics"]
 
-import bisect
-from collections import defaultdict
-from dataclasses import asdict, dataclass, field
-from typing import TYPE_CHECKING, Any
+from dataclasses import asdict
+from typing import Any
 
 from aioprometheus import Counter, Gauge, Registry
 from aioprometheus.renderer import render
 
+from .inspected import InspectedNode
 from .members import era_of, version_of
 
-if TYPE_CHECKING:
-    from .node import MeshNode
 
-BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
-
-
-@dataclass
-class LatencyHistogram:
-    """Histogram of request durations, by route."""
-
-    _counts: dict[str, list[int]] = field(
-        default_factory=lambda: defaultdict(lambda: [0] * (len(BUCKETS_S) + 1))
-    )
-    _sums: dict[str, float] = field(default_factory=lambda: defaultdict(float))
-
-    def observe(self, route: str, seconds: float) -> None:
-        """Record one duration."""
-        self._counts[route][bisect.bisect_left(BUCKETS_S, seconds)] += 1
-        self._sums[route] += seconds
-
-    def render(self, name: str) -> str:
-        """Return the histogram in the Prometheus text format."""
-        lines = [f"# TYPE {name} histogram"]
-        for route, counts in self._counts.items():
-            total = 0
-            for bound, count in zip((*BUCKETS_S, "+Inf"), counts, strict=True):
-                total += count
-                lines.append(f'{name}_bucket{{route="{route}",le="{bound}"}} {total}')
-            lines.append(f'{name}_sum{{route="{route}"}} {self._sums[route]:.6f}')
-            lines.append(f'{name}_count{{route="{route}"}} {total}')
-        return "\n".join(lines) + "\n"
-
-
-def _connections_opened(node: "MeshNode") -> dict[str, int]:
+def _connections_opened(node: InspectedNode) -> dict[str, int]:
     """Return the connections opened or accepted since the start, by purpose."""
     return {
         **node.traffic.links_opened,
-        **node.listeners.accepted(),
+        **node.accepted_connections(),
         "target": node.gate.connections.opened,
         "store": node.store.connections_opened,
     }
 
 
-def dump_state(node: "MeshNode") -> dict[str, Any]:
+def dump_state(node: InspectedNode) -> dict[str, Any]:
     """Return the state of a node as a JSON-serializable dict, for operators."""
     load = node.gate.load()
     target = node.gate.target
@@ -106,7 +73,7 @@
     }
 
 
-def _add_traffic(node: "MeshNode", registry: Registry) -> None:
+def _add_traffic(node: InspectedNode, registry: Registry) -> None:
     size = Counter(
         "dogwooddock_link_bytes_total",
         "Bytes between nodes by purpose.",
@@ -134,7 +101,7 @@
         connections.set({"purpose": purpose}, count)
 
 
-def render_metrics(node: "MeshNode") -> bytes:
+def render_metrics(node: InspectedNode) -> bytes:
     """Return the metrics in the Prometheus text format."""
     registry = Registry()
     requests = Counter(
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -43,6 +43,7 @@
 from .gate import Gate
 from .heartbeats import TargetMonitor
 from .ingress import Ingress
+from .inspected import InspectedNode
 from .listeners import Listeners
 from .marks import MarkExchange
 from .memberrows import MemberRows
@@ -92,7 +93,7 @@
     settings_changed: Callable[[], bool]
 
 
-class MeshNode(LinkHandler):
+class MeshNode(LinkHandler, InspectedNode):
     """Create and connect the components of one process.
 
     Args:
@@ -298,6 +299,10 @@
         """Return the platform's store."""
         return self._platform.store
 
+    def accepted_connections(self) -> dict[str, int]:
+        """Return the connections that were accepted since the start, by purpose."""
+        return self.listeners.accepted()
+
     @property
     def ready(self) -> bool:
         """Report whether requests can be served, and the node is not stopping."""
--- a/dogwooddock/mesh/requestcounts.py
+++ b/dogwooddock/mesh/requestcounts.py
@@ -7,7 +7,7 @@
 
 from ..policy.outcomes import Outcome, Reason
 from .accountcounts import AccountCounts
-from .metrics import LatencyHistogram
+from .latencyhistogram import LatencyHistogram
 
 
 @dataclass
--- a/dogwooddock/mesh/storereader.py
+++ b/dogwooddock/mesh/storereader.py
@@ -11,7 +11,7 @@
 from ..errors import PlatformError
 from ..policy.polling import REGULAR_TIMING, lead_timing
 from ..policy.readers import is_lead_reader, is_store_reader
-from .configproofs import ConfigProofs
+from .configproofs import ConfigProofs, ConfigReader
 from .fleet import Fleet
 from .follower import TableFollower
 from .recordrows import MEMBERS_TABLE
@@ -31,7 +31,7 @@
 RowsCallback = Callable[[tuple[Row, ...], int], None]
 
 
-class StoreReader:
+class StoreReader(ConfigReader):
     """Follow the store while this node is a store reader of its zone.
 
     A few nodes of each availability zone read the store; the others learn of changes
--- a/dogwooddock/mesh/where.py
+++ b/dogwooddock/mesh/where.py
@@ -3,26 +3,24 @@
 __all__ = ["UnknownRequest", "where_to"]
 
 from dataclasses import asdict
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from ..errors import DogwooddockError
 from ..policy.accounts import ClientAccount
 from ..policy.levels import LEVEL_SCALE
 from ..policy.outcomes import Reason
 from ..policy.placement import Obstacle, PlacementView, TargetView
+from .inspected import InspectedNode
 from .pending import importance_and_depth
 from .quotas import QuotaState
 from .routing import MeshRoute, RouteTable
 
-if TYPE_CHECKING:
-    from .node import MeshNode
-
 
 class UnknownRequest(DogwooddockError):
     """No route or account of the active configuration fits the question."""
 
 
-def where_to(node: "MeshNode", host: str, path: str, account: str) -> dict[str, Any]:
+def where_to(node: InspectedNode, host: str, path: str, account: str) -> dict[str, Any]:
     """Return the route and target of a request, as values that can be JSON.
 
     Nothing is sent, counted or changed.
@@ -81,7 +79,7 @@
 
 
 def _refusal(
-    node: "MeshNode",
+    node: InspectedNode,
     route: MeshRoute,
     pool: str,
     account: ClientAccount | None,
@@ -116,7 +114,7 @@
     return {"status": status, "reason": reason.value, "share": round(share, 2)}
 
 
-def _target_id(node: "MeshNode", node_id: int | None) -> str | None:
+def _target_id(node: InspectedNode, node_id: int | None) -> str | None:
     if node_id is None:
         return None
     record = node.fleet.members.find(node.fleet.address_of(node_id))
@@ -124,7 +122,7 @@
 
 
 def _describe(
-    node: "MeshNode", target: TargetView, view: PlacementView
+    node: InspectedNode, target: TargetView, view: PlacementView
 ) -> dict[str, Any]:
     host, port = node.fleet.address_of(target.node_id)
     chosen = target.node_id == view.chosen
--- a/tests/test_mesh_operators.py
+++ b/tests/test_mesh_operators.py
@@ -9,7 +9,8 @@
 from dogwooddock.errors import InvalidSettings
 from dogwooddock.logs import RateLimitedWriter
 from dogwooddock.mesh.environment import Bounds
-from dogwooddock.mesh.metrics import LatencyHistogram, dump_state, render_metrics
+from dogwooddock.mesh.latencyhistogram import LatencyHistogram
+from dogwooddock.mesh.metrics import dump_state, render_metrics
 from dogwooddock.platform.settings import SettingsFile
 
 from .mesh_helpers import running_fleet
