Read the settings again at a start while their file is being written

What operators saw: a node that started while its settings file was missing or half written ended with code 2, and one whose file was nested too deeply with a traceback.

Cause: the first read decided, though the file is written anew at each start and whenever settings change.

Change: a file that is missing or no whole JSON text is read again for 2 s; a stop signal ends the wait. The parser that bounds nesting reads it.

Result: of the new cases of tests/test_held_addresses.py three failed before (two files that are completed later, deep nesting); all five pass. Two others, files that stay unreadable, were refused before as well.

--- a/dogwooddock/errors.py
+++ b/dogwooddock/errors.py
@@ -17,6 +17,7 @@
     "RowProblem",
     "TargetError",
     "TargetUnreachable",
+    "UnreadableSettings",
 ]
 
 from dataclasses import dataclass
@@ -30,6 +31,10 @@
     """A flag or environment variable has an invalid value."""
 
 
+class UnreadableSettings(InvalidSettings):
+    """The settings file is missing or incomplete; it may be being written."""
+
+
 @dataclass(frozen=True, slots=True)
 class RowProblem:
     """One validation error in a route or pool table.
--- a/dogwooddock/platform/command.py
+++ b/dogwooddock/platform/command.py
@@ -27,13 +27,12 @@
 
 
 async def _serve(settings_file: SettingsFile) -> None:
-    start = NodeStart(settings_file)
-    sockets = await start.reserve_addresses()
-    if sockets is None:
+    started = await NodeStart(settings_file).run()
+    if started is None:
         return
-    env, seed = start.env, int.from_bytes(os.urandom(8), "big")
+    env, seed = started.env, int.from_bytes(os.urandom(8), "big")
     node = MeshNode(env, platform_adapter(env, settings_file), Random(seed))
-    await node.run(sockets)
+    await node.run(started.sockets)
 
 
 @app.command()
--- a/dogwooddock/platform/settings.py
+++ b/dogwooddock/platform/settings.py
@@ -2,14 +2,14 @@
 
 __all__ = ["SettingsFile", "listen_addresses", "read_settings"]
 
-import json
 import os
 from dataclasses import replace
 from typing import Any
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 
-from ..errors import InvalidSettings
+from ..errors import InvalidSettings, UnreadableSettings
+from ..jsontext import parse_json
 from ..listening import ListenAddress
 from ..mesh.environment import Bounds, NodeEnvironment
 from .values import FormatError, parse_address, parse_duration
@@ -93,20 +93,24 @@
     """Read and validate a settings file.
 
     Raises:
+        UnreadableSettings: The file is missing or not JSON.
         InvalidSettings: The file is invalid; the message names the field and says
             how to correct it.
     """
     try:
-        with open(path, encoding="utf-8") as stream:
-            parsed = _SettingsSchema.model_validate(json.load(stream))
-        return _build_environment(parsed)
+        with open(path, "rb") as stream:
+            document = parse_json(stream.read())
+    except (OSError, ValueError) as exc:
+        raise UnreadableSettings(f"settings file {path}: {exc}; correct it") from exc
+    try:
+        return _build_environment(_SettingsSchema.model_validate(document))
     except ValidationError as exc:
         error = exc.errors()[0]
         name = ".".join(str(part) for part in error["loc"])
         raise InvalidSettings(
             f"settings file {path}, field {name}: {error['msg']}; correct it"
         ) from exc
-    except (OSError, ValueError, FormatError) as exc:
+    except (ValueError, FormatError) as exc:
         raise InvalidSettings(f"settings file {path}: {exc}; correct it") from exc
 
 
--- a/dogwooddock/platform/startup.py
+++ b/dogwooddock/platform/startup.py
@@ -1,65 +1,89 @@
 """The start of a node, which waits while another process holds one of its addresses."""
 
-__all__ = ["NodeStart"]
+__all__ = ["NodeStart", "StartedNode"]
 
 import asyncio
 import signal
+from dataclasses import dataclass
 
 import structlog
 
-from ..errors import InvalidSettings
+from ..errors import InvalidSettings, UnreadableSettings
 from ..listening import RETRY_PERIOD_S, AddressReservation, ListenSockets
 from ..mesh.environment import NodeEnvironment
 from .settings import SettingsFile, listen_addresses
 
+SETTINGS_TIMEOUT_S = 2.0
+
 log = structlog.get_logger()
 
 
+@dataclass(frozen=True, slots=True)
+class StartedNode:
+    """Settings of a node that may start, and the sockets of its addresses."""
+
+    env: NodeEnvironment
+    sockets: ListenSockets
+
+
 class NodeStart:
-    """Reserve the addresses of a node, such as those of a predecessor that drains.
+    """Read the settings and reserve the addresses, such as a draining predecessor's.
 
     Args:
         settings_file: Settings; a change is followed during the wait.
-
-    ``env`` are the settings whose addresses are reserved.
-
-    Raises:
-        InvalidSettings: The settings are invalid.
     """
 
     def __init__(self, settings_file: SettingsFile):
+        self._loop = asyncio.get_running_loop()
         self._settings_file = settings_file
-        self.env: NodeEnvironment = settings_file.read()
-        self._reservation = AddressReservation(listen_addresses(self.env))
+        self._stopping = asyncio.Event()
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(signum, self._stopping.set)
 
-    async def reserve_addresses(self) -> ListenSockets | None:
-        """Wait until the addresses are free; return None if a stop signal comes first.
+    async def run(self) -> StartedNode | None:
+        """Return once the addresses are free; None if a stop signal comes first.
 
         Raises:
-            InvalidSettings: An address can never be listened on.
+            InvalidSettings: The settings are invalid, or name an address that can never
+                be listened on.
         """
-        loop = asyncio.get_running_loop()
-        stopping = asyncio.Event()
-        for signum in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(signum, stopping.set)
-        while not stopping.is_set():
-            sockets = self._reservation.attempt(loop.time())
+        env = await self._read_settings()
+        reservation = AddressReservation(listen_addresses(env))
+        while not self._stopping.is_set():
+            sockets = reservation.attempt(self._loop.time())
             if sockets is not None:
-                return sockets
+                return StartedNode(env, sockets)
             await asyncio.sleep(RETRY_PERIOD_S)
             if self._settings_file.changed():
-                self._follow_settings()
-        self._reservation.close()
-        log.info("node_stopped", reason="stop signal while it waited for an address")
+                env, reservation = self._follow_settings(env, reservation)
+        reservation.close()
+        log.info("node_stopped", reason="stop signal before the addresses were free")
         return None
 
-    def _follow_settings(self) -> None:
-        """Reserve the addresses of new settings; keep the current ones if invalid."""
+    async def _read_settings(self) -> NodeEnvironment:
+        """Read the settings; allow some time for a file that is being written."""
+        deadline = self._loop.time() + SETTINGS_TIMEOUT_S
+        waits = False
+        while True:
+            try:
+                return self._settings_file.read()
+            except UnreadableSettings as exc:
+                if self._stopping.is_set() or self._loop.time() >= deadline:
+                    raise
+                if not waits:
+                    log.warning("settings_unreadable", error=str(exc))
+                waits = True
+            await asyncio.sleep(RETRY_PERIOD_S)
+
+    def _follow_settings(
+        self, env: NodeEnvironment, reservation: AddressReservation
+    ) -> tuple[NodeEnvironment, AddressReservation]:
+        """Return new settings and their reservation; the current ones if invalid."""
         try:
-            env = self._settings_file.read()
-            reservation = AddressReservation(listen_addresses(env))
+            new_env = self._settings_file.read()
+            new_reservation = AddressReservation(listen_addresses(new_env))
         except InvalidSettings as exc:
             log.error("settings_refused", error=str(exc))
-            return
-        self._reservation.close()
-        self.env, self._reservation = env, reservation
+            return env, reservation
+        reservation.close()
+        return new_env, new_reservation
--- a/tests/test_held_addresses.py
+++ b/tests/test_held_addresses.py
@@ -23,9 +23,11 @@
 class NodeProcess:
     """A node on the platform, whose store and target are away."""
 
-    def __init__(self, folder, base, **settings):
+    def __init__(self, folder, base, text=None, **settings):
         path = folder / "settings.json"
         write_settings(path, 0, HOST, base, ABSENT, "shop", ABSENT, **settings)
+        if text is not None:
+            path.write_text(text)
         self._caller = (HOST, base)
         self.process = subprocess.Popen(
             [sys.executable, "-m", "dogwooddock.platform"],
@@ -139,3 +141,22 @@
         text = node.process.stdout.read()
     assert f"{setting}" in text, json.dumps(text)
     assert "Traceback" not in text
+
+
+@pytest.mark.parametrize("written", ["", '{"node": "node-0", "lis'])
+def test_node_starts_once_its_settings_file_is_written_to_the_end(tmp_path, written):
+    base = free_ports(PORTS_PER_NODE)
+    with NodeProcess(tmp_path, base, text=written) as node:
+        assert node.read_until("settings_unreadable")
+        path = tmp_path / "settings.json"
+        write_settings(path, 0, HOST, base, ABSENT, "shop", ABSENT)
+        assert node.serves()
+
+
+@pytest.mark.parametrize("text", ["", "[" * 100_000, '{"node": "\ud800'])
+def test_settings_file_that_stays_unreadable_is_refused_by_its_path(tmp_path, text):
+    text = text.encode(errors="surrogatepass").decode("latin-1")
+    with NodeProcess(tmp_path, free_ports(PORTS_PER_NODE), text=text) as node:
+        assert node.process.wait(LIMIT_S) == 2
+        log = node.process.stdout.read()
+    assert "settings_refused" in log and "Traceback" not in log
