Name in failure lines what is known about the client

What operators saw: reason=cancelled for a client that is gone as well as for one that only sends no more, so the log could not tell why a request got no answer.

Change: request_failed has client=gone after a connection error and client=sends-no-more after the end of a client's input.

Evidence: the two cases of test_log_tells_callers_that_are_gone_... failed before and pass. Callers that send no more still get no answer.

--- a/dogwooddock/http1/connection.py
+++ b/dogwooddock/http1/connection.py
@@ -1,6 +1,13 @@
 """Server side of an HTTP/1.1 connection, with pipelining and timeouts."""
 
-__all__ = ["Connection", "Exchange", "Handler", "ServerLimits", "ServerState"]
+__all__ = [
+    "ClientState",
+    "Connection",
+    "Exchange",
+    "Handler",
+    "ServerLimits",
+    "ServerState",
+]
 
 import asyncio
 import socket
@@ -8,6 +15,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import cast
 
 import structlog
@@ -42,6 +50,14 @@
     idle_timeout_s: float = 60.0
 
 
+class ClientState(StrEnum):
+    """What is known about the client of a connection."""
+
+    OPEN = "open"
+    SENDS_NO_MORE = "sends-no-more"
+    GONE = "gone"
+
+
 class Exchange:
     """A received request and its response.
 
@@ -72,6 +88,11 @@
         """Report whether the client connection is closed."""
         return self._conn.closed
 
+    @property
+    def client_state(self) -> ClientState:
+        """Return what is known about the client."""
+        return self._conn.client_state
+
     @property
     def conn_id(self) -> int:
         """Return a number that all requests of the connection share."""
@@ -162,6 +183,7 @@
         self._last_activity_at = self._loop.time()
         self._transport: asyncio.Transport
         self.closed = False
+        self.client_state = ClientState.OPEN
         self.peer_host = ""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -336,11 +358,14 @@
 
     def eof_received(self) -> bool:
         """Close the connection of a client that sends no more."""
+        self.client_state = ClientState.SENDS_NO_MORE
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the requests that are not answered."""
         self.closed = True
+        if exc is not None:
+            self.client_state = ClientState.GONE
         self._server.connections.discard(self)
         for exchange in self._pending:
             if not exchange.answered and exchange.on_disconnect is not None:
--- a/dogwooddock/http1/server.py
+++ b/dogwooddock/http1/server.py
@@ -1,12 +1,19 @@
 """HTTP/1.1 server for asyncio."""
 
-__all__ = ["Exchange", "HttpServer", "ServerLimits"]
+__all__ = ["ClientState", "Exchange", "HttpServer", "ServerLimits"]
 
 import asyncio
 import socket
 
 from ..listening import LISTEN_BACKLOG, Address, bind_socket
-from .connection import Connection, Exchange, Handler, ServerLimits, ServerState
+from .connection import (
+    ClientState,
+    Connection,
+    Exchange,
+    Handler,
+    ServerLimits,
+    ServerState,
+)
 
 SWEEP_PERIOD_S = 0.5
 
--- a/dogwooddock/mesh/errorresponses.py
+++ b/dogwooddock/mesh/errorresponses.py
@@ -8,7 +8,7 @@
 
 import structlog
 
-from ..http1.server import Exchange
+from ..http1.server import ClientState, Exchange
 from ..policy.accounts import KeyCheck
 from ..policy.chains import RUN_RETRY_AFTER_S, ReportedLevels
 from ..policy.outcomes import Outcome, Reason
@@ -181,6 +181,7 @@
         call = pending.call
         load = pending.last_reply.load
         account = pending.account
+        client = pending.exchange.client_state
         log.info(
             "request_failed",
             request=call.request_id.decode("latin-1"),
@@ -192,6 +193,7 @@
             depth=call.depth,
             status=status,
             reason=reason.value,
+            **({"client": client.value} if client is not ClientState.OPEN else {}),
             unconfirmed=pending.unconfirmed,
             tried=len(pending.tried),
             reached=pending.reached,
--- a/tests/test_half_close.py
+++ b/tests/test_half_close.py
@@ -5,8 +5,12 @@
 """
 
 import asyncio
+import socket
+import struct
+from asyncio import StreamWriter
 
 import pytest
+import structlog
 
 from bench.mesh_standin import TargetMode
 
@@ -14,6 +18,8 @@
 from .virtual_time import run
 
 WORK_S = 0.6
+# Time in which the work for a caller that has gone ends.
+NOTICE_S = 0.45
 DRAIN_S = 2.0
 BOUNDS = {"grace_s": 6.0, "drain_s": DRAIN_S}
 
@@ -72,3 +78,43 @@
             assert await asking == answers
 
     run(scenario())
+
+
+async def _leave(address, data, leave):
+    """Send a request, leave while it runs, and return the node's failure lines."""
+    _, writer = await asyncio.open_connection(*address)
+    writer.write(data)
+    await asyncio.sleep(0.1)
+    with structlog.testing.capture_logs() as lines:
+        leave(writer)
+        await asyncio.sleep(NOTICE_S)
+    writer.transport.abort()
+    return [line for line in lines if line["event"] == "request_failed"]
+
+
+def _reset(writer):
+    sock = writer.transport.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+@pytest.mark.parametrize(
+    ("version", "leave", "state"),
+    [
+        ("1.1", _reset, "gone"),
+        ("1.0", StreamWriter.write_eof, "sends-no-more"),
+    ],
+    ids=["reset", "end-of-input"],
+)
+def test_log_tells_callers_that_are_gone_from_those_that_send_no_more(
+    version, leave, state
+):
+    async def scenario():
+        async with running_fleet("shop") as fleet:
+            (vm,) = fleet.vms
+            vm.target.mode = TargetMode(work_s=2.0)
+            data = request("/read/1", "a", version=version)
+            (line,) = await _leave(vm.env.caller_listen, data, leave)
+            assert (line["reason"], line["client"]) == ("cancelled", state)
+
+    run(scenario())
