Answer callers that send no more but still read

What callers saw: a request that was sent whole got no answer if the sending side was closed behind it, in calm and around a stop; a non-idempotent one ran all the same.

Cause: the end of input was taken for a caller that has gone: the event loop closed the connection, and the request was cancelled.

Change: the connection stays open for the answers to what was read whole. A caller of HTTP/1.1 is sent an interim response, twice at most; a reset shows that it has gone, and its work is cancelled as before. A caller of HTTP/1.0 is sent nothing ahead: only work that was passed on and may not be repeated is finished for it.

--- a/dogwooddock/http1/connection.py
+++ b/dogwooddock/http1/connection.py
@@ -20,6 +20,8 @@
 
 import structlog
 
+from ..policy.halfclose import HalfClosePolicy, keeps_open
+from .halfclose import INTERIM_RESPONSE, HalfCloseWatch
 from .messages import HttpError, Request, RequestParser, render_response
 from .sockets import tune_socket
 
@@ -67,14 +69,24 @@
         arrived_at: Loop time of its last byte, in seconds.
 
     ``on_disconnect`` is called if the client disconnects before the response.
+    ``must_be_answered``, if set, tells whether the request may run and may not be
+    repeated.
     """
 
-    __slots__ = ("_conn", "_response", "arrived_at", "on_disconnect", "request")
+    __slots__ = (
+        "_conn",
+        "_response",
+        "arrived_at",
+        "must_be_answered",
+        "on_disconnect",
+        "request",
+    )
 
     def __init__(self, request: Request, conn: "Connection", arrived_at: float):
         self.request = request
         self.arrived_at = arrived_at
         self.on_disconnect: Callable[[], None] | None = None
+        self.must_be_answered: Callable[[], bool] | None = None
         self._conn = conn
         self._response: tuple[int, bytes, bytes] | None = None
 
@@ -150,11 +162,14 @@
     ``head_check``, if set, is called on the event loop with each request that has a
     body, before the body is received. If it answers the request, the handler is not
     called, and the body is received within the same limits and discarded.
+    ``answers_half_closed`` tells whether clients that send no more are answered; if
+    not, they count as disconnected. Its handler must answer each request in time.
     """
 
     def __init__(self, handler: Handler, limits: ServerLimits | None = None):
         self.handler = handler
         self.head_check: Handler | None = None
+        self.answers_half_closed = False
         self.limits = limits or ServerLimits()
         self.connections: set[Connection] = set()
         self.accepted = 0
@@ -184,6 +199,7 @@
         self._transport: asyncio.Transport
         self.closed = False
         self.client_state = ClientState.OPEN
+        self._half_close: HalfCloseWatch | None = None
         self.peer_host = ""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -215,7 +231,7 @@
             requests = parser.take_completed() if parser.drops_body else []
         if error is None and parser.wants_continue and not self._pending:
             parser.wants_continue = False
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._transport.write(INTERIM_RESPONSE)
         for request in requests:
             self._handle_request(request)
         if error is not None:
@@ -303,11 +319,14 @@
         """End the responses, and discard what the client still sends until it closes.
 
         A close with unread data resets the connection, and the client could lose the
-        response.
+        response. After the end of input there is none.
         """
         if self._lingering or self.closed or self._transport.is_closing():
             return
         self._input_closed = self._lingering = True
+        if self._half_close is not None:
+            self._transport.close()
+            return
         self._transport.write_eof()
         self._transport.resume_reading()
 
@@ -357,15 +376,38 @@
             self.sweep(self._loop.time())
 
     def eof_received(self) -> bool:
-        """Close the connection of a client that sends no more."""
+        """Answer the complete requests of a client that sends no more, then close."""
         self.client_state = ClientState.SENDS_NO_MORE
-        return False
+        if not self._keeps_open():
+            return False
+        self._input_closed = True
+        self._parser.drops_body = False
+        if self._half_close is None:
+            version = self._parser.http_version
+            policy = HalfClosePolicy(self._loop.time(), version)
+            self._half_close = HalfCloseWatch(self._transport, policy, self._on_reset)
+        return True
+
+    def _keeps_open(self) -> bool:
+        kept = any(
+            exchange.must_be_answered is not None and exchange.must_be_answered()
+            for exchange in self._pending
+        )
+        return self._server.answers_half_closed and keeps_open(
+            self._parser.http_version, len(self._pending), kept
+        )
+
+    def _on_reset(self) -> None:
+        self.client_state = ClientState.GONE
+        self._transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the requests that are not answered."""
         self.closed = True
         if exc is not None:
             self.client_state = ClientState.GONE
+        if self._half_close is not None:
+            self._half_close.stop()
         self._server.connections.discard(self)
         for exchange in self._pending:
             if not exchange.answered and exchange.on_disconnect is not None:
--- a/dogwooddock/http1/messages.py
+++ b/dogwooddock/http1/messages.py
@@ -181,6 +181,11 @@
         self.refuses_head: Callable[[Request], bool] | None = None
         self.drops_body = False
 
+    @property
+    def http_version(self) -> str:
+        """Return the version of the last request, as in ``1.1``."""
+        return str(self._parser.get_http_version())
+
     def feed(self, data: bytes) -> list[Request]:
         """Parse bytes and return the requests that they complete.
 
--- a/dogwooddock/mesh/ingress.py
+++ b/dogwooddock/mesh/ingress.py
@@ -236,6 +236,7 @@
         pending.account = account
         self._pending.add(pending)
         exchange.on_disconnect = lambda: self._on_disconnect(pending)
+        exchange.must_be_answered = lambda: pending.may_run_once
         self._set_deadline(pending, call.deadline)
         if parent is not None:
             parent.queued.made_calls = True
--- a/dogwooddock/mesh/listeners.py
+++ b/dogwooddock/mesh/listeners.py
@@ -53,6 +53,7 @@
         self._node = node
         self._check_head = ingress.check_head
         self.caller_server = HttpServer(ingress.handle)
+        self.caller_server.answers_half_closed = True
         self._ready_server = HttpServer(self._on_probe)
         self._heartbeat_server = HttpServer(self._on_heartbeat)
         self._operator_server = HttpServer(self._on_operator)
--- a/dogwooddock/mesh/pending.py
+++ b/dogwooddock/mesh/pending.py
@@ -87,6 +87,11 @@
         """Return the loop time at which the latency objective ends, in seconds."""
         return self.arrived_at + self.route.objective_s
 
+    @property
+    def may_run_once(self) -> bool:
+        """Report whether it was passed on, may have run, and may not be repeated."""
+        return not self.route.idempotent and self.unconfirmed > 0
+
     def record_turned_away(self) -> None:
         """Record that the target of the last attempt turned it away, not run."""
         self.turned_away += 1
--- a/tests/test_half_close.py
+++ b/tests/test_half_close.py
@@ -5,19 +5,24 @@
 """
 
 import asyncio
+import errno
 import socket
 import struct
+import time
 from asyncio import StreamWriter
 
 import pytest
 import structlog
 
 from bench.mesh_standin import TargetMode
+from dogwooddock.http1.halfclose import HalfCloseWatch
+from dogwooddock.policy.halfclose import HalfClosePolicy
 
 from .mesh_helpers import running_fleet
 from .virtual_time import run
 
 WORK_S = 0.6
+BODY_BYTES = 6_000_000
 # Time in which the work for a caller that has gone ends.
 NOTICE_S = 0.45
 DRAIN_S = 2.0
@@ -43,15 +48,21 @@
     "1.1",
     "Transfer-Encoding: chunked",
 )
+OLD_POST = request("/order/3", "e", "POST", b"one", "1.0", "Content-Length: 3")
 
 
-async def statuses_after_half_close(address, data):
-    """Return the statuses of the final responses until the end of the connection."""
+async def received_after_half_close(address, data, pause_s=0.0):
+    """Return what the node writes until it closes, read after a pause."""
     reader, writer = await asyncio.open_connection(*address)
     writer.write(data)
     writer.write_eof()
+    await asyncio.sleep(pause_s)
     received = await reader.read()
     writer.close()
+    return received
+
+
+def final_statuses(received):
     lines = [line for line in received.split(b"\r\n") if b"HTTP/1.1 " in line]
     statuses = [int(line.partition(b"HTTP/1.1 ")[2][:3]) for line in lines]
     return [status for status in statuses if status >= 200]
@@ -60,8 +71,15 @@
 @pytest.mark.parametrize("stop_after_s", [None, 0.15])
 @pytest.mark.parametrize(
     ("data", "answers"),
-    [(GET, [200]), (POST, [200]), (CHUNKED, [200]), (GET + OTHER + POST, [200] * 3)],
-    ids=["get", "post", "chunked", "pipelined"],
+    [
+        (GET, [200]),
+        (POST, [200]),
+        (CHUNKED, [200]),
+        (GET + OTHER + POST, [200] * 3),
+        (GET + POST[:-1], [200]),
+        (OLD_POST, [200]),
+    ],
+    ids=["get", "post", "chunked", "pipelined", "rest-incomplete", "http-1.0"],
 )
 def test_caller_that_sends_no_more_is_answered(data, answers, stop_after_s):
     async def scenario():
@@ -70,12 +88,48 @@
             for each in fleet.vms:
                 each.target.mode = TargetMode(work_s=WORK_S)
             asking = asyncio.create_task(
-                statuses_after_half_close(vm.env.caller_listen, data)
+                received_after_half_close(vm.env.caller_listen, data)
             )
             if stop_after_s is not None:
                 await asyncio.sleep(stop_after_s)
                 await asyncio.wait_for(vm.node.stop(), DRAIN_S + 2 * WORK_S)
-            assert await asking == answers
+            assert final_statuses(await asking) == answers
+
+    run(scenario())
+
+
+def test_http_1_0_caller_gets_no_interim_response():
+    async def scenario():
+        async with running_fleet("shop") as fleet:
+            (vm,) = fleet.vms
+            vm.target.mode = TargetMode(work_s=WORK_S)
+            address = vm.env.caller_listen
+            received = await received_after_half_close(address, OLD_POST)
+            assert received.startswith(b"HTTP/1.1 200 ")
+            old_get = request("/read/1", "f", version="1.0")
+            assert await received_after_half_close(address, old_get) == b""
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("data", [POST[:-1], GET[:-1]])
+def test_incomplete_request_at_the_end_of_input_does_not_run(data):
+    async def scenario():
+        async with running_fleet("shop") as fleet:
+            address = fleet.vms[0].env.caller_listen
+            assert await received_after_half_close(address, data) == b""
+            assert fleet.runs == []
+
+    run(scenario())
+
+
+def test_late_reader_that_sends_no_more_gets_the_whole_answer():
+    async def scenario():
+        async with running_fleet("shop") as fleet:
+            (vm,) = fleet.vms
+            vm.target.mode = TargetMode(work_s=0.1, body_bytes=BODY_BYTES)
+            received = await received_after_half_close(vm.env.caller_listen, GET, 2.0)
+            assert received.endswith(b"x" * BODY_BYTES)
 
     run(scenario())
 
@@ -102,9 +156,10 @@
     ("version", "leave", "state"),
     [
         ("1.1", _reset, "gone"),
+        ("1.1", StreamWriter.close, "gone"),
         ("1.0", StreamWriter.write_eof, "sends-no-more"),
     ],
-    ids=["reset", "end-of-input"],
+    ids=["reset", "close", "end-of-input"],
 )
 def test_log_tells_callers_that_are_gone_from_those_that_send_no_more(
     version, leave, state
@@ -118,3 +173,107 @@
             assert (line["reason"], line["client"]) == ("cancelled", state)
 
     run(scenario())
+
+
+async def _stall(stall_s):
+    """Keep the event loop busy."""
+    while True:
+        time.sleep(stall_s)
+        await asyncio.sleep(0)
+
+
+def _close_late(writer):
+    """Send no more, and close with an interim response unread."""
+    writer.transport.pause_reading()
+    writer.write_eof()
+    asyncio.get_running_loop().call_later(1.0, writer.transport.abort)
+
+
+@pytest.mark.parametrize("stall_s", [0.0, 0.05])
+@pytest.mark.parametrize(
+    ("leave", "left_s"),
+    [(StreamWriter.close, 0.0), (_reset, 0.0), (_close_late, 1.0)],
+    ids=["close", "reset", "late-close"],
+)
+@pytest.mark.parametrize("data", [GET, GET + OTHER], ids=["get", "pipelined"])
+def test_work_for_callers_that_are_gone_ends(data, leave, left_s, stall_s):
+    async def scenario():
+        async with running_fleet("shop") as fleet:
+            (vm,) = fleet.vms
+            vm.target.mode = TargetMode(work_s=3.0)
+            handle, runs = vm.target._server.handler, []
+
+            def record(exchange):
+                if exchange.request.path.startswith(b"/read/"):
+                    runs.append(exchange)
+                handle(exchange)
+
+            vm.target._server.handler = record
+            _, writer = await asyncio.open_connection(*vm.env.caller_listen)
+            writer.write(data)
+            await asyncio.sleep(0.2)
+            stalling = asyncio.create_task(_stall(stall_s)) if stall_s else None
+            loop = asyncio.get_running_loop()
+            left_at = loop.time() + left_s
+            leave(writer)
+            while not all(exchange.disconnected for exchange in runs):
+                assert loop.time() < left_at + NOTICE_S
+                await asyncio.sleep(0.01)
+            assert len(runs) == data.count(b"GET ")
+            assert loop.time() >= left_at
+            if stalling is not None:
+                stalling.cancel()
+
+    run(scenario())
+
+
+class _Peer(asyncio.Transport):
+    """A closed peer whose network resets at a given write."""
+
+    def __init__(self, resets_at):
+        super().__init__()
+        self.writes_left = resets_at
+
+    def write(self, data):
+        self.writes_left -= 1
+
+    def get_extra_info(self, name, default=None):
+        return self
+
+    def getsockopt(self, level, option):
+        return errno.EPIPE if self.writes_left <= 0 else 0
+
+    def is_closing(self):
+        return False
+
+
+@pytest.mark.parametrize("resets_at", [1, 2])
+@pytest.mark.parametrize("stall_s", [0.0, 0.05, 0.1])
+def test_reset_at_the_first_or_second_write_is_noticed(resets_at, stall_s):
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        stalling = asyncio.create_task(_stall(stall_s)) if stall_s else None
+        noticed_at = loop.create_future()
+        ended_at = loop.time()
+        HalfCloseWatch(
+            _Peer(resets_at),
+            HalfClosePolicy(ended_at, "1.1"),
+            lambda: noticed_at.set_result(loop.time()),
+        )
+        assert await noticed_at - ended_at < NOTICE_S
+        if stalling is not None:
+            stalling.cancel()
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(("version", "writes"), [("1.1", 2), ("1.0", 0)])
+def test_interim_responses_are_bounded(version, writes):
+    policy = HalfClosePolicy(0.0, version)
+    now, written = 0.0, 0
+    while now < 20.0:
+        step = policy.step(now)
+        written += step.writes
+        assert 0 < step.pause_s <= 0.1
+        now += step.pause_s
+    assert written == writes
