Take request targets in absolute form

What callers saw: GET http://app.example/p/1 HTTP/1.1, which HTTP/1.1 asks servers to take (RFC 9112, section 3.2.2), got 404.

Cause: the whole URI was matched as a path, with the host of the Host header.

Change: the parser takes the host from such a target in place of Host; path and query go on as sent, in origin form. A target that names no host, or names user data, gets 400.

--- a/dogwooddock/http1/messages.py
+++ b/dogwooddock/http1/messages.py
@@ -19,6 +19,7 @@
 import httptools
 
 from ..errors import DogwooddockError
+from .targets import parse_absolute
 
 HOP_BY_HOP = frozenset(
     {
@@ -67,7 +68,7 @@
     Args:
         method: Method as sent.
         target: Path and query as sent.
-        headers: Header pairs in the order sent.
+        headers: Header pairs in the order sent; Host is that of an absolute target.
         fields: Header values by lower-case name; the last one if it is repeated.
         body: Decoded body.
         keep_alive: Whether the connection may serve another request.
@@ -222,11 +223,26 @@
     def on_headers_complete(self) -> None:
         """Record that the body follows and whether the client awaits 100 Continue."""
         super().on_headers_complete()
+        self._read_absolute_target()
         expect = self._fields.get(b"expect", b"")
         self.wants_continue = expect.lower() == b"100-continue"
         if self.refuses_head is not None and self._expects_body():
             self._check_head(self.refuses_head)
 
+    def _read_absolute_target(self) -> None:
+        """Take host, path and query from a target in absolute form."""
+        if self._target.startswith(b"/"):
+            return
+        absolute = parse_absolute(self._parser.get_method(), self._target)
+        if absolute is None:
+            return
+        if not absolute.is_valid:
+            raise HttpError(400, "the request target names no host; send path and Host")
+        self._target = absolute.origin_form
+        self._fields[b"host"] = absolute.host
+        others = [pair for pair in self._headers if pair[0].lower() != b"host"]
+        self._headers = [(b"Host", absolute.host), *others]
+
     def _expects_body(self) -> bool:
         length = self._fields.get(b"content-length", b"0")
         return length != b"0" or b"transfer-encoding" in self._fields
