Draw restarts that do not wait, held addresses and changes of routes in the soak

Checked now: a process that ends unasked, or with a code other than 0 after a stop signal, and at the end that each node runs and listens on its four addresses. A stop signal may itself end a process that has no handler yet. Processes that drain are signalled, watched and ended as well.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -164,6 +164,26 @@
             ),
         ),
     ),
+    Mutant(
+        "held-address-ends-the-start",
+        (
+            (
+                "listening.py",
+                "if exc.errno not in TRANSIENT_ERRORS:",
+                "if exc is not None:",
+            ),
+        ),
+    ),
+    Mutant(
+        "stop-ends-with-an-error",
+        (
+            (
+                "mesh/node.py",
+                "        await self.stop()\n",
+                "        await self.stop()\n        raise SystemExit(1)\n",
+            ),
+        ),
+    ),
     Mutant(
         "no-recovery-from-store-loss",
         (
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -22,7 +22,7 @@
 from .soakaccounts import HOT_KEY, PLAIN_KEY, find_account_violations
 from .soakchecks import ApiKey, ClientRequest, find_violations
 from .soakfleet import CONFIG_BOUND_S, DRAIN_BOUND_S, GRACE_PERIOD_S, SimulatedVM
-from .soakplanned import SoakPlannedWork
+from .soakrestarts import SoakRestarts
 
 RECOVERY_S = 6.0
 OBSERVATION_S = 2.0
@@ -53,7 +53,7 @@
 
 
 @dataclass
-class _SoakTest(SoakPlannedWork):
+class _SoakTest(SoakRestarts):
     seconds: float = 10.0
     flooding: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -133,6 +133,7 @@
             self.spawn(self.inject_faults()),
             self.spawn(self.return_store()),
             self.spawn(self.plan_work()),
+            self.spawn(self.restart_nodes()),
         ]
         await asyncio.sleep(self.seconds)
         for task in faults:
@@ -152,12 +153,13 @@
                 break
 
     async def _stop_and_check(self) -> SoakReport:
+        await self.check_nodes()
         for task in list(self.tasks):
             task.cancel()
         for vm in self.vms:
-            if vm.running and vm.process is not None:
-                vm.process.kill()
-                await vm.process.wait()
+            for process in vm.processes:
+                process.kill()
+                await process.wait()
             vm.target.stop()
             vm.target_proxy.stop()
             vm.store_proxy.stop()
--- a/bench/soakfaults.py
+++ b/bench/soakfaults.py
@@ -4,18 +4,22 @@
 
 import asyncio
 import signal
+from asyncio.subprocess import Process
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
 
 from .mesh_standin import TargetMode, TargetStandIn
+from .processstate import cpu_time_s
 from .proxy import FaultyProxy, ProxyFaults
 from .soakaccounts import REVOKE_BOUND_S
 from .soakfleet import DRAIN_BOUND_S, GRACE_PERIOD_S, SimulatedVM, SoakFleet
 
 FAULT_INTERVAL_S = 0.6
 STORE_RETURN_INTERVAL_S = 5.0
+# Processor time after which the interpreter has run the first lines of a process.
+FIRST_LINES_S = 0.1
 # Beyond the bound after which no node may use a withdrawn key.
 OUTAGE_S = REVOKE_BOUND_S + 1.5
 
@@ -66,22 +70,32 @@
     def _send_signal(self, vm: SimulatedVM, signal_number: int) -> bool:
         if not vm.running or vm.process is None:
             return False
+        if signal_number in (signal.SIGTERM, signal.SIGKILL):
+            vm.expect_exit(signal_number)
         vm.process.send_signal(signal_number)
         return True
 
     async def _await_exit_and_restart(self, vm: SimulatedVM) -> None:
-        assert vm.process is not None
+        """Wait for the end of the node's process; start the next if nobody has."""
+        process = vm.process
+        assert process is not None
+        await self.await_exit(vm, process)
+        await asyncio.sleep(0.2)
+        if vm.process is process:
+            await self.start_node(vm)
+
+    async def await_exit(self, vm: SimulatedVM, process: Process) -> None:
+        """Wait for the end of a process that was stopped, at most for its grace."""
         try:
             async with asyncio.timeout(GRACE_PERIOD_S):
-                await vm.process.wait()
+                await process.wait()
         except TimeoutError:
             self.history.notes.append(
                 f"node-{vm.index} did not exit within its grace period"
             )
-            vm.process.kill()
-            await vm.process.wait()
-        await asyncio.sleep(0.2)
-        await self.start_node(vm)
+            vm.exit_codes[process.pid].add(-signal.SIGKILL)
+            process.kill()
+            await process.wait()
 
     async def _kill_node(self, vm: SimulatedVM) -> None:
         if self._send_signal(vm, signal.SIGKILL):
@@ -94,14 +108,17 @@
             await self._await_exit_and_restart(vm)
 
     async def _pause_node(self, vm: SimulatedVM) -> None:
-        if self._send_signal(vm, signal.SIGSTOP):
+        process = vm.process
+        if process is not None and self._send_signal(vm, signal.SIGSTOP):
             self.history.record_node_fault(vm.index, self.now())
             await self._random_pause()
-            self._send_signal(vm, signal.SIGCONT)
+            if process.returncode is None:
+                process.send_signal(signal.SIGCONT)
             self.history.record_node_fault(vm.index, self.now())
 
     async def _reload_node(self, vm: SimulatedVM) -> None:
-        self._send_signal(vm, signal.SIGHUP)
+        if vm.process is not None and cpu_time_s(vm.process.pid) > FIRST_LINES_S:
+            self._send_signal(vm, signal.SIGHUP)
 
     async def _apply_proxy_faults(
         self, proxy: FaultyProxy, faults: ProxyFaults
@@ -219,7 +236,11 @@
         return len(self.history.pools)
 
     async def _change_config(self, vm: SimulatedVM) -> None:
-        self.version += self.rng.randint(1, 3)
+        await self.store_version(self.rng.randint(1, 3))
+
+    async def store_version(self, step: int) -> None:
+        """Store a configuration whose version is higher by a step."""
+        self.version += step
         await self.store.put("op", "config", self.current_config())
         pool = "shop" if self.version % 2 else "stock"
         self.history.record_config(self.version, pool, self.now())
--- a/bench/soakfleet.py
+++ b/bench/soakfleet.py
@@ -13,7 +13,9 @@
 
 import asyncio
 import os
+import signal
 import sys
+from asyncio.subprocess import Process
 from collections.abc import Awaitable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -21,6 +23,7 @@
 from typing import Any
 
 from .mesh_standin import StoreStandIn, TargetMode, TargetStandIn
+from .processstate import handles_signal
 from .proxy import FaultyProxy
 from .settingsfile import (
     PORTS_PER_NODE,
@@ -53,7 +56,9 @@
     target_proxy: FaultyProxy
     store_proxy: FaultyProxy
     settings: Path
-    process: asyncio.subprocess.Process | None = None
+    process: Process | None = None
+    predecessors: list[Process] = field(default_factory=list)
+    exit_codes: dict[int, set[int]] = field(default_factory=dict)
     lifetime: int = 0
     accepted_state: tuple[int, str, str] = (0, "", "")
     heartbeats: asyncio.Task[None] | None = None
@@ -63,6 +68,35 @@
         """Report whether the node's process is running."""
         return self.process is not None and self.process.returncode is None
 
+    @property
+    def processes(self) -> list[Process]:
+        """Return the node's processes that run, in order of their start."""
+        all_processes = [*self.predecessors, *filter(None, [self.process])]
+        return [item for item in all_processes if item.returncode is None]
+
+    @property
+    def serving_lifetime(self) -> int:
+        """Return the number of the process that listens, of several that run."""
+        return self.lifetime - max(len(self.processes) - 1, 0)
+
+    @property
+    def listen_addresses(self) -> list[Address]:
+        """Return the addresses that the node listens on, that for peers last."""
+        host, port = self.ports["control"]
+        named = [self.ports[name] for name in ("outbound", "ready", "control")]
+        return [*named, (host, port + 1)]
+
+    def expect_exit(self, signum: int) -> None:
+        """Expect the process to end by a signal that it is about to get.
+
+        The signal itself may end a process that does not handle the first one yet.
+        """
+        assert self.process is not None
+        codes = self.exit_codes[self.process.pid]
+        if not codes and not handles_signal(self.process.pid, signum):
+            codes.add(-signum)
+        codes.add(0 if signum == signal.SIGTERM else -signum)
+
 
 @dataclass
 class SoakFleet:
@@ -81,6 +115,7 @@
     store: StoreStandIn = field(default_factory=StoreStandIn)
     vms: list[SimulatedVM] = field(default_factory=list)
     version: int = 1
+    extra_routes: int = 0
     tasks: set[asyncio.Task[Any]] = field(default_factory=set)
     logs: list[Any] = field(default_factory=list)
 
@@ -127,6 +162,11 @@
                     timeout="6000ms",
                 )
             )
+        for number in range(self.extra_routes):
+            prefix = f"/extra-{number}/"
+            routes.append(
+                route_entry(f"extra-{number}", "shop", prefix, "idempotent", 1)
+            )
         return config_document(self.version, [*routes, *self.accounts.entries()])
 
     async def start(self) -> None:
@@ -186,8 +226,10 @@
         """Start the node's process; its output is appended to a log in the folder."""
         log = open(self.folder / f"node-{vm.index}.log", "ab")  # noqa: SIM115
         self.logs.append(log)
+        vm.predecessors = vm.processes
+        vm.process = None
         vm.lifetime += 1
-        vm.process = await asyncio.create_subprocess_exec(
+        process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             "dogwooddock.platform",
@@ -195,15 +237,40 @@
             stderr=log,
             env={**os.environ, "DOGWOODDOCK_NODE_FILE": str(vm.settings)},
         )
+        vm.exit_codes[process.pid] = set()
+        vm.process = process
+        self.spawn(self._watch_exit(vm, process))
+
+    async def _watch_exit(self, vm: SimulatedVM, process: Process) -> None:
+        """Note a process that ends by itself, or with an error after a signal."""
+        code = await process.wait()
+        if code not in vm.exit_codes[process.pid]:
+            self.history.notes.append(
+                f"a process of node-{vm.index} ended with code {code} "
+                f"at {self.now():.2f}"
+            )
+
+    async def check_nodes(self) -> None:
+        """Note each node that does not run, or does not listen, at the end."""
+        for vm in self.vms:
+            if not vm.running:
+                self.history.notes.append(f"node-{vm.index} does not run at the end")
+            for address in vm.listen_addresses:
+                try:
+                    _, writer = await asyncio.open_connection(*address)
+                except OSError as exc:
+                    self.history.notes.append(
+                        f"node-{vm.index} does not listen on {address}: {exc}"
+                    )
+                else:
+                    writer.close()
 
     async def watch_starvation(self) -> None:
         """Record nodes that the machine keeps from running, until cancelled."""
         watch = StarvationWatch(self.now())
         while True:
             await asyncio.sleep(SAMPLE_PERIOD_S)
-            running = {
-                vm.process.pid: vm for vm in self.vms if vm.running and vm.process
-            }
+            running = {process.pid: vm for vm in self.vms for process in vm.processes}
             for pid in watch.sample(self.now(), set(running)):
                 self.history.record_starvation(running[pid].index, self.now())
 
@@ -220,7 +287,7 @@
                 status = await target.send_heartbeat()
         except OSError:
             return
-        state = (vm.lifetime, target.target_id, target.state)
+        state = (vm.serving_lifetime, target.target_id, target.state)
         if status == 200 and state != vm.accepted_state:
             vm.accepted_state = state
             self.history.membership_changes.append(self.now())
--- a/bench/soakplanned.py
+++ b/bench/soakplanned.py
@@ -62,7 +62,7 @@
     async def _stop_beside_busy_target(self, vm: SimulatedVM) -> None:
         """Stop a node whose target runs long requests; its clients go on."""
         async with self.modes_in_use:
-            if not vm.running:
+            if not vm.running or len(vm.processes) > 1:
                 return
             path = f"/long-{vm.target.pool}/1"
             self._set_modes(TargetMode(BUSY_WORK_S, work_by_path=((path, LONG_RUN_S),)))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,10 +1,12 @@
 """A short soak test with real node processes, and tests of its checks."""
 
 import asyncio
+import signal
+import socket
 
 import pytest
 
-from bench import starvation
+from bench import soakfleet, starvation
 from bench.mesh_standin import Run
 from bench.mutants import MUTANTS, write_mutated_copy
 from bench.soak import run_soak
@@ -217,6 +219,18 @@
         return self.status
 
 
+class EndedProcess:
+    """Process that ends with a code, or runs on."""
+
+    pid = 7
+
+    def __init__(self, code):
+        self.returncode = code
+
+    async def wait(self):
+        return self.returncode
+
+
 @pytest.mark.parametrize(
     ("starts", "changes"),
     [
@@ -241,6 +255,57 @@
     assert len(asyncio.run(scenario())) == changes
 
 
+@pytest.mark.parametrize(
+    ("code", "signals", "handled", "noted"),
+    [
+        (0, [], True, True),
+        (1, [], True, True),
+        (-1, [], False, True),
+        (0, [signal.SIGTERM], True, False),
+        (1, [signal.SIGTERM], True, True),
+        (-15, [signal.SIGTERM], True, True),
+        (-15, [signal.SIGTERM], False, False),
+        (-9, [signal.SIGKILL], False, False),
+        (-9, [signal.SIGTERM], True, True),
+    ],
+)
+def test_process_that_ends_unasked_or_with_an_error_is_reported(
+    code, signals, handled, noted, tmp_path, monkeypatch
+):
+    monkeypatch.setattr(soakfleet, "handles_signal", lambda *_: handled)
+
+    async def scenario():
+        fleet = SoakFleet(1, tmp_path)
+        vm = SimulatedVM(0, "", {}, ReadyTarget(), None, None, tmp_path)
+        vm.process = EndedProcess(code)
+        vm.exit_codes[EndedProcess.pid] = set()
+        for signum in signals:
+            vm.expect_exit(signum)
+        await fleet._watch_exit(vm, vm.process)
+        return fleet.history.notes
+
+    assert bool(asyncio.run(scenario())) == noted
+
+
+@pytest.mark.parametrize("runs", [True, False])
+def test_node_that_is_gone_at_the_end_or_listens_nowhere_is_reported(runs, tmp_path):
+    async def scenario():
+        fleet = SoakFleet(1, tmp_path)
+        server = socket.create_server(("127.0.0.1", 0))
+        names = ("outbound", "ready", "control")
+        ports = dict.fromkeys(names, server.getsockname())
+        vm = SimulatedVM(0, "", ports, ReadyTarget(), None, None, tmp_path)
+        vm.process = EndedProcess(None if runs else 0)
+        fleet.vms.append(vm)
+        await fleet.check_nodes()
+        server.close()
+        return fleet.history.notes
+
+    found = asyncio.run(scenario())
+    assert any("does not run" in line for line in found) != runs
+    assert sum("does not listen" in line for line in found) == 1
+
+
 @pytest.mark.parametrize(
     ("waited_s", "at", "starved"),
     [
