Draw slow readers and report lost answers of undisturbed nodes in the soak

The soak's answers were a few bytes, read at once, and a request without an answer was a violation only at a planned stop. Now clients on connections of their own read answers of 200 KB little by little, and a request that was sent and got no answer is a violation if its node had no fault meanwhile, or within the time of a stop before. Requests on a connection of their own are given up after a limit, and count then.

--- a/bench/mesh_standin.py
+++ b/bench/mesh_standin.py
@@ -1,6 +1,6 @@
 """Stand-ins of the users' platform: its store, and targets that send heartbeats."""
 
-__all__ = ["StoreStandIn", "TargetMode", "TargetStandIn"]
+__all__ = ["LARGE_ANSWER", "StoreStandIn", "TargetMode", "TargetStandIn"]
 
 import asyncio
 import base64
@@ -24,6 +24,10 @@
 
 Address = tuple[str, int]
 
+# Requests whose id ends so get an answer of some 200 KB.
+LARGE_ANSWER = "-large"
+LARGE_ANSWER_DIGESTS = 3200
+
 
 def _render_row(row: Row) -> dict[str, Any]:
     rendered: dict[str, Any] = {
@@ -570,4 +574,5 @@
 
 def answer_body(request_id: str) -> bytes:
     """Return the body with which a target answers a request."""
-    return hashlib.sha256(request_id.encode()).hexdigest().encode()
+    digest = hashlib.sha256(request_id.encode()).hexdigest().encode()
+    return digest * (LARGE_ANSWER_DIGESTS if request_id.endswith(LARGE_ANSWER) else 1)
--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -174,6 +174,16 @@
             ),
         ),
     ),
+    Mutant(
+        "stop-cuts-slow-readers",
+        (
+            (
+                "policy/shutdown.py",
+                "finished = not work.requests and not work.unwritten_bytes",
+                "finished = not work.requests",
+            ),
+        ),
+    ),
     Mutant(
         "stop-ends-with-an-error",
         (
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -16,11 +16,12 @@
 from pathlib import Path
 from random import Random
 
-from dogwooddock.http1.client import ClientConnection, ConnectionPool, RequestFailure
+from dogwooddock.http1.client import ClientConnection, ConnectionPool
 from dogwooddock.http1.messages import render_request
 
 from .soakaccounts import HOT_KEY, PLAIN_KEY, find_account_violations
 from .soakchecks import ApiKey, ClientRequest, find_violations
+from .soakclients import SlowReader, exchange_in_time
 from .soakfleet import CONFIG_BOUND_S, DRAIN_BOUND_S, GRACE_PERIOD_S, SimulatedVM
 from .soakrestarts import SoakRestarts
 
@@ -109,12 +110,7 @@
         method = b"POST" if request.route == "order" else b"GET"
         path = f"/{request.route}/1"
         data = render_request(method, path.encode(), block.encode(), b"")
-        try:
-            async with asyncio.timeout(DEADLINE_MS / 1000 + 2.0):
-                result = await conn.exchange(data)
-        except TimeoutError:
-            conn.abort()
-            result = RequestFailure(True, False, False, False, "no answer")
+        result = await exchange_in_time(conn, data, DEADLINE_MS / 1000 + 2.0)
         request.record(result, self.now())
 
     # Run.
@@ -127,6 +123,7 @@
             for number in range(CLIENTS_PER_NODE):
                 self.spawn(self._client(vm, number))
             self.spawn(self._client(vm, CLIENTS_PER_NODE, hot=True))
+            self.spawn(self.visit(vm, SlowReader))
         self.spawn(self._vary_flood())
         self.spawn(self.watch_starvation())
         faults = [
--- a/bench/soakchecks.py
+++ b/bench/soakchecks.py
@@ -58,6 +58,7 @@
         target_id: Target that answered; empty if a node did.
         ended_at: Time of the answer or of giving up, in seconds.
         api_key: Key that was sent with it.
+        lost: Whether it was sent and got no answer.
         owed: Whether it has to be served while there is no fault.
         error: Text of the answer if a node made it.
     """
@@ -73,6 +74,7 @@
     target_id: str = ""
     ended_at: float = 0.0
     api_key: ApiKey | None = None
+    lost: bool = False
     owed: bool = True
     error: str = ""
 
@@ -85,6 +87,7 @@
         """Record the answer, or that there was none."""
         self.ended_at = now
         if not isinstance(result, Response):
+            self.lost = result.sent
             return
         fields = result.fields
         self.status = result.status
@@ -171,6 +174,12 @@
             for at in self._node_faults[node]
         )
 
+    def was_undisturbed(self, request: ClientRequest) -> bool:
+        """Report whether a request's node had no fault that may have ended it."""
+        begin = request.sent_at - STOP_S - BOUND_TOLERANCE_S
+        faults = self._node_faults[request.node]
+        return not any(begin <= at <= request.ended_at for at in faults)
+
     def record_starvation(self, node: int, at: float) -> None:
         """Record that a node's process could not run, which is a pause of the node."""
         self.record_node_fault(node, at)
@@ -256,6 +265,8 @@
             found.append(f"{name} was reported as not run but ran")
     if runs and request.broken_off and history.was_cut_by_planned_stop(request, runs):
         found.append(f"{name} ran and was broken off by a planned stop")
+    if request.lost and history.was_undisturbed(request):
+        found.append(f"{name} got no answer although its node did not end")
     if request.status == 404:
         found.append(f"{name} was answered 404 although its route exists")
     if request.route == "moving" and request.status == 200:
--- a/bench/soakplanned.py
+++ b/bench/soakplanned.py
@@ -7,11 +7,12 @@
 from dataclasses import dataclass, field, replace
 from random import Random
 
-from dogwooddock.http1.client import ConnectionPool
+from dogwooddock.http1.client import ClientConnection, ConnectionPool
 from dogwooddock.http1.messages import Response, render_request
 
-from .mesh_standin import TargetMode
+from .mesh_standin import LARGE_ANSWER, TargetMode
 from .soakchecks import ClientRequest
+from .soakclients import SlowReader, exchange_in_time, open_connection
 from .soakfaults import SoakFaults
 from .soakfleet import SimulatedVM
 
@@ -23,6 +24,9 @@
 BUSY_WORK_S = 0.9
 PRESS_INTERVAL_S = 0.1
 PRESS_DEADLINE_MS = 1500
+VISIT_INTERVAL_S = 0.5
+# Beyond the deadline of a request until its client gives up.
+MAX_ANSWER_DELAY_S = 4.0
 USUAL_WORK_S = 0.02
 REFUSING_S = 1.0
 # More than a target counts in a run.
@@ -83,9 +87,25 @@
             for path in ("/read/1", "/stock/1"):
                 self.spawn(self._send_once(vm, path, PRESS_DEADLINE_MS))
 
-    async def _send_once(self, vm: SimulatedVM, path: str, deadline_ms: int) -> None:
+    async def visit(self, vm: SimulatedVM, kind: type[ClientConnection]) -> None:
+        """Send requests on connections of a kind, until cancelled."""
+        rng = Random(f"{kind.__name__} {vm.index} {self.seed}")
+        while True:
+            await asyncio.sleep(VISIT_INTERVAL_S * rng.uniform(0.5, 1.5))
+            path = rng.choice(("/read/1", "/stock/1"))
+            self.spawn(self._send_once(vm, path, PRESS_DEADLINE_MS, kind))
+
+    async def _send_once(
+        self,
+        vm: SimulatedVM,
+        path: str,
+        deadline_ms: int,
+        kind: type[ClientConnection] = ClientConnection,
+    ) -> None:
         """Send a request on a connection of its own."""
         request_id = f"{self.seed:x}P{len(self.history.requests)}"
+        if kind is SlowReader:
+            request_id += LARGE_ANSWER
         request = ClientRequest(
             request_id,
             path.split("/")[1],
@@ -100,10 +120,12 @@
             f"Dogwooddock-Deadline-Ms: {deadline_ms}\r\n"
         ).encode()
         try:
-            conn = await ConnectionPool(vm.ports["outbound"]).open()
+            conn = await open_connection(kind, vm.ports["outbound"])
         except OSError:
             return
-        result = await conn.exchange(render_request(b"GET", path.encode(), block, b""))
+        data = render_request(b"GET", path.encode(), block, b"")
+        limit_s = deadline_ms / 1000 + MAX_ANSWER_DELAY_S
+        result = await exchange_in_time(conn, data, limit_s)
         request.record(result, self.now())
         conn.close()
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -94,6 +94,22 @@
             "",
         ),
         ([client_request(sent_at=24.0, status=0, ended_at=25.4, node=3)], [], ""),
+        (
+            [client_request("read", 0, sent_at=24.0, ended_at=25.0, lost=True)],
+            [],
+            "not end",
+        ),
+        (
+            [client_request("read", 0, node=3, sent_at=26.2, ended_at=27.0, lost=True)],
+            [],
+            "",
+        ),
+        (
+            [client_request("read", 0, node=3, sent_at=26.4, ended_at=27.0, lost=True)],
+            [],
+            "not end",
+        ),
+        ([client_request("read", 0, sent_at=24.0)], [], ""),
         (
             [client_request(sent_at=30.0, status=0, ended_at=31.0, node=3)],
             [run_at(30.1, target_id="t4-0")],
