Let a second signal at the end of a stop leave the exit code at 0

Cause: the event loop restores the default actions of the signals when it closes, and the interpreter takes a while to end after that.

Change: the signals are blocked from the end of the node's work on.

Result: test_signal_that_comes_when_the_stop_is_done_does_not_make_it_a_failure failed before for SIGTERM and SIGHUP, and passes for all three signals.

--- a/dogwooddock/platform/command.py
+++ b/dogwooddock/platform/command.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 from random import Random
 from typing import Annotated
 
@@ -19,6 +20,7 @@
 from .startup import NodeStart
 
 EXIT_INVALID_SETTINGS = 2
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 # Without rich, whose import costs each node some megabytes.
 app = typer.Typer(
@@ -26,6 +28,14 @@
 )
 
 
+async def _run(settings_file: SettingsFile) -> None:
+    try:
+        await _serve(settings_file)
+    finally:
+        # The event loop restores the default actions, which end the process.
+        signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
+
+
 async def _serve(settings_file: SettingsFile) -> None:
     started = await NodeStart(settings_file).run()
     if started is None:
@@ -62,7 +72,7 @@
     """Serve until SIGTERM."""
     configure_rate_limited_logs(log_level)
     try:
-        asyncio.run(_serve(SettingsFile(settings, operator_port, chain_levels)))
+        asyncio.run(_run(SettingsFile(settings, operator_port, chain_levels)))
     except InvalidSettings as exc:
         structlog.get_logger().error("settings_refused", error=str(exc))
         raise typer.Exit(EXIT_INVALID_SETTINGS) from exc
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from bench.settingsfile import PORTS_PER_NODE, free_ports, write_settings
+
 # Sends the process a signal when a library begins to be imported, and runs the node.
 START = """
 import os, runpy, sys
@@ -29,6 +31,15 @@
     ["dogwooddock", "node", "--name", "n", "--zone", "z", "--limit-mode", "none"],
     "--limit-mode",
 )
+# Runs a node whose process gets a signal when the interpreter ends.
+END = """
+import atexit, os, runpy, sys
+
+atexit.register(os.kill, os.getpid(), {signum})
+sys.argv = ["node", "--settings", {settings!r}]
+runpy.run_module("dogwooddock.platform", run_name="__main__")
+"""
+ABSENT = ("127.0.0.1", 9)
 EXIT_INVALID_SETTINGS = 2
 NODE = [sys.executable, "-m", "dogwooddock", "node", "--name", "n", "--zone", "z"]
 STOP_LIMIT_S = 10.0
@@ -90,3 +101,25 @@
     finally:
         process.kill()
         process.wait()
+
+
+@pytest.mark.parametrize("signum", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])
+def test_signal_that_comes_when_the_stop_is_done_does_not_make_it_a_failure(
+    signum, tmp_path
+):
+    settings, base = tmp_path / "settings.json", free_ports(PORTS_PER_NODE)
+    write_settings(settings, 0, "127.0.0.1", base, ABSENT, "shop", ABSENT)
+    code = END.format(signum=int(signum), settings=str(settings))
+    command = [sys.executable, "-c", code]
+    process = subprocess.Popen(
+        command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
+    )
+    try:
+        assert any("node_started" in line for line in process.stdout)
+        process.send_signal(signal.SIGTERM)
+        output = process.stdout.read()
+        assert (process.wait(STOP_LIMIT_S), "Traceback" in output) == (0, False)
+    finally:
+        process.kill()
+        process.wait()
+        process.stdout.close()
