Draw clients that half-close behind their request in the soak

Each node now has one that does, on connections of its own; the check for lost answers applies to its requests.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -21,7 +21,7 @@
 
 from .soakaccounts import HOT_KEY, PLAIN_KEY, find_account_violations
 from .soakchecks import ApiKey, ClientRequest, find_violations
-from .soakclients import SlowReader, exchange_in_time
+from .soakclients import HalfCloser, SlowReader, exchange_in_time
 from .soakfleet import CONFIG_BOUND_S, DRAIN_BOUND_S, GRACE_PERIOD_S, SimulatedVM
 from .soakrestarts import SoakRestarts
 
@@ -123,7 +123,8 @@
             for number in range(CLIENTS_PER_NODE):
                 self.spawn(self._client(vm, number))
             self.spawn(self._client(vm, CLIENTS_PER_NODE, hot=True))
-            self.spawn(self.visit(vm, SlowReader))
+            for kind in (SlowReader, HalfCloser):
+                self.spawn(self.visit(vm, kind))
         self.spawn(self._vary_flood())
         self.spawn(self.watch_starvation())
         faults = [
--- a/bench/soakclients.py
+++ b/bench/soakclients.py
@@ -1,9 +1,10 @@
 """Connections of a soak test's clients that differ from those of usual ones."""
 
-__all__ = ["SlowReader", "exchange_in_time", "open_connection"]
+__all__ = ["HalfCloser", "SlowReader", "exchange_in_time", "open_connection"]
 
 import asyncio
 import socket
+from typing import Any
 
 from dogwooddock.http1.client import (
     CONNECT_TIMEOUT_S,
@@ -18,6 +19,16 @@
 RECEIVE_BUFFER_BYTES = 16 * 1024
 
 
+class HalfCloser(ClientConnection):
+    """A connection that closes its sending side behind its request."""
+
+    def send(self, *args: Any, **options: Any) -> None:
+        """Write a request, the last one."""
+        super().send(*args, **options)
+        if self.usable:
+            self._transport.write_eof()
+
+
 class SlowReader(ClientConnection):
     """A connection that takes its answers little by little."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,7 @@
     find_account_violations,
 )
 from bench.soakchecks import ApiKey, ClientRequest, SoakHistory, find_violations
+from bench.soakclients import HalfCloser, exchange_in_time, open_connection
 from bench.soakfleet import SimulatedVM, SoakFleet
 from bench.starvation import StarvationWatch
 
@@ -322,6 +323,22 @@
     assert sum("does not listen" in line for line in found) == 1
 
 
+def test_client_that_half_closes_sends_its_whole_request_and_gets_the_answer():
+    async def answer(reader, writer):
+        size = len(await reader.read())
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n%06d" % size)
+        writer.close()
+
+    async def scenario():
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        async with server:
+            address = server.sockets[0].getsockname()
+            conn = await open_connection(HalfCloser, address)
+            return await exchange_in_time(conn, b"x" * 300_000, 5.0)
+
+    assert asyncio.run(scenario()).body == b"300000"
+
+
 @pytest.mark.parametrize(
     ("waited_s", "at", "starved"),
     [
