Wait on the own interface too for addresses that another process holds

What operators saw: `dogwooddock node` ended with a traceback while another process had one of its ports; where that was the port of the local target or of operators, the process stayed without serving, since threads of the HTTP library kept it alive.

Cause: each server opened its own sockets while the node was built.

Change: the sockets of all flags, with the UDP port of the peers, are reserved together as on the platform's path, before the node is built; the HTTP servers take them. A log line names the flag, a stop signal ends the wait with code 0, and what can never be listened on or is named twice is refused by its flag. tests/test_join.py reserves its peer ports the new way, with the same checks.

--- a/dogwooddock/callers/server.py
+++ b/dogwooddock/callers/server.py
@@ -25,7 +25,9 @@
     end_to_end_headers,
     trace_id_of,
 )
+from ..listening import LISTEN_BACKLOG
 from ..policy.outcomes import Outcome, Reason
+from ..reservedsocket import ReservedSocketServer
 from .api import API_PREFIX, NodeApi, TargetControl
 from .disconnects import DisconnectWatcher
 from .ingress import Ingress
@@ -71,7 +73,7 @@
                 raise
 
 
-class _Server(HTTPServer):
+class _Server(ReservedSocketServer):
     caller_server: "CallerServer"
 
 
@@ -150,7 +152,7 @@
     """Serve callers over HTTP/1.1.
 
     Args:
-        address: IP address and port to listen on; port 0 picks one.
+        sock: Listening socket; the server closes it.
         ingress: Runs the requests.
         limits: Limits of the server.
         watcher: Cancels requests whose caller disconnects.
@@ -161,7 +163,7 @@
 
     def __init__(
         self,
-        address: tuple[str, int],
+        sock: socket.socket,
         ingress: Ingress,
         limits: ServerLimits,
         watcher: DisconnectWatcher,
@@ -178,13 +180,13 @@
         self._unanswered = 0
         self._count_lock = threading.Lock()
         self._server = _Server(
-            address, _Gateway, minthreads=limits.threads, maxthreads=limits.threads
+            sock, _Gateway, minthreads=limits.threads, maxthreads=limits.threads
         )
         self._server.caller_server = self
         self._server.ConnectionClass = _Connection
         self._server.max_request_body_size = limits.max_body_bytes
         self._server.timeout = limits.idle_timeout_s  # type: ignore[assignment]
-        self._server.request_queue_size = 1024
+        self._server.request_queue_size = LISTEN_BACKLOG
         self._server.keep_alive_conn_limit = 4096
         self._server.nodelay = True
         self._server.prepare()
--- a/dogwooddock/listening.py
+++ b/dogwooddock/listening.py
@@ -8,6 +8,7 @@
     "ListenAddress",
     "ListenSockets",
     "bind_socket",
+    "reserve",
 ]
 
 import errno
@@ -24,6 +25,8 @@
 RETRY_PERIOD_S = 0.05
 REPORT_PERIOD_S = 10.0
 LISTEN_BACKLOG = 1024
+# With port 0, the system may choose a TCP port whose UDP port is held.
+PORT_ATTEMPTS = 50
 # What another process, the VM's network or a limit causes may end by itself.
 TRANSIENT_ERRORS = frozenset(
     {
@@ -47,22 +50,30 @@
         name: What it is for.
         setting: Name of the setting that it comes from.
         address: IP address and port; port 0 lets the system choose one.
+        kind: Whether it is a TCP or a UDP port.
+        port_of: Name of an earlier address whose port is taken for port 0.
     """
 
     name: str
     setting: str
     address: Address
+    kind: socket.SocketKind = socket.SOCK_STREAM
+    port_of: str = ""
 
     def __str__(self) -> str:
         return f"{self.address[0]}:{self.address[1]}"
 
 
-def bind_socket(address: Address) -> socket.socket:
-    """Return a TCP socket that is bound to an address and does not listen yet."""
+def bind_socket(
+    address: Address, kind: socket.SocketKind = socket.SOCK_STREAM
+) -> socket.socket:
+    """Return a socket that is bound to an address and does not listen yet."""
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock = socket.socket(family, kind)
     try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # UDP sockets with this option would share the port.
+        if kind == socket.SOCK_STREAM:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(address)
     except BaseException:
         sock.close()
@@ -93,6 +104,8 @@
     Args:
         addresses: Addresses to reserve.
 
+    ``unavailable`` is the address that the latest attempt could not reserve.
+
     Raises:
         InvalidSettings: Two settings name the same address.
     """
@@ -102,6 +115,7 @@
         self._sockets: dict[str, socket.socket] = {}
         self._check_distinct()
         self._reported: tuple[str, float] = ("", 0.0)
+        self.unavailable: ListenAddress | None = None
 
     def attempt(self, now: float) -> ListenSockets | None:
         """Try to reserve what is missing; return the sockets once it has all of them.
@@ -119,6 +133,7 @@
                 try:
                     act(wanted)
                 except OSError as exc:
+                    self._release_chosen_port(wanted)
                     self._on_failure(wanted, exc, now)
                     return None
         sockets, self._sockets = self._sockets, {}
@@ -133,6 +148,7 @@
     def _check_distinct(self) -> None:
         settings: dict[Address, str] = {}
         for wanted in self._addresses:
+            # A setting may stand for the TCP and the UDP port of one number.
             other = settings.setdefault(wanted.address, wanted.setting)
             if other != wanted.setting and wanted.address[1]:
                 raise InvalidSettings(
@@ -142,10 +158,20 @@
     def _bind(self, wanted: ListenAddress) -> None:
         if wanted.name in self._sockets:
             return
-        self._sockets[wanted.name] = bind_socket(wanted.address)
+        address = wanted.address
+        if wanted.port_of and not address[1]:
+            chosen = self._sockets[wanted.port_of].getsockname()[1]
+            address = (address[0], chosen)
+        self._sockets[wanted.name] = bind_socket(address, wanted.kind)
 
     def _listen(self, wanted: ListenAddress) -> None:
-        self._sockets[wanted.name].listen(LISTEN_BACKLOG)
+        if wanted.kind == socket.SOCK_STREAM:
+            self._sockets[wanted.name].listen(LISTEN_BACKLOG)
+
+    def _release_chosen_port(self, wanted: ListenAddress) -> None:
+        """Let the system choose another port if the chosen one is held for UDP."""
+        if wanted.port_of and not wanted.address[1]:
+            self._release(wanted.port_of)
 
     def _on_failure(self, wanted: ListenAddress, exc: OSError, now: float) -> None:
         if exc.errno not in TRANSIENT_ERRORS:
@@ -153,6 +179,7 @@
             raise InvalidSettings(
                 f"{wanted.setting}: cannot listen on {wanted} ({exc}); correct it"
             ) from exc
+        self.unavailable = wanted
         self._release_listening()
         setting, reported_at = self._reported
         if setting == wanted.setting and now - reported_at < REPORT_PERIOD_S:
@@ -168,7 +195,29 @@
 
     def _release_listening(self) -> None:
         """Close sockets that listen already, so that none takes connections alone."""
-        for name, sock in list(self._sockets.items()):
-            if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
-                del self._sockets[name]
-                sock.close()
+        for wanted in reversed(self._addresses):
+            sock = self._sockets.get(wanted.port_of or wanted.name)
+            if sock and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+                self._release(wanted.name)
+
+    def _release(self, name: str) -> None:
+        sock = self._sockets.pop(name, None)
+        if sock is not None:
+            sock.close()
+
+
+def reserve(addresses: Iterable[ListenAddress]) -> ListenSockets:
+    """Reserve addresses without waiting for any that another process holds.
+
+    Raises:
+        InvalidSettings: An address is held, or can never be listened on.
+    """
+    reservation = AddressReservation(addresses)
+    for _ in range(PORT_ATTEMPTS):
+        sockets = reservation.attempt(0.0)
+        if sockets is not None:
+            return sockets
+    reservation.close()
+    held = reservation.unavailable
+    assert held is not None
+    raise InvalidSettings(f"{held.setting}: {held} is held; choose another")
--- a/dogwooddock/node.py
+++ b/dogwooddock/node.py
@@ -22,6 +22,7 @@
 from .inspection import describe_gate, describe_ingress
 from .keys.committer import DirectKeyBatchExecutor, KeyService
 from .keys.rows import KeyStore
+from .listening import ListenSockets, reserve
 from .operators.admin import AdminServer
 from .operators.nodestate import GossipTraffic, InspectedNode, NodeHealth, NodeState
 from .peers.batching import ZoneKeyBatchExecutor
@@ -31,7 +32,6 @@
 from .peers.gossip import Gossip, GossipCallbacks
 from .peers.markbroadcast import MarkBroadcast
 from .peers.server import PeerServer
-from .peers.sockets import open_peer_sockets
 from .policy.admission import AdmissionController
 from .policy.allowance import AllowanceLedger
 from .policy.configlog import LogSlice
@@ -43,7 +43,7 @@
 from .policy.selection import Selector
 from .policy.shutdown import Shutdown, UnfinishedWork
 from .policy.tickets import TicketRegistry
-from .settings import NodeSettings, parse_address
+from .settings import NodeSettings, listen_addresses
 from .store.base import ObjectStore, TableService
 from .store.http import HttpObjectStore, HttpTableService
 from .tables import Tables
@@ -67,6 +67,7 @@
         settings: Validated settings.
         tables: Table service; by default the one at ``platform_url``.
         objects: Object store; by default the one at ``platform_url``.
+        sockets: Sockets of its addresses; by default they are opened.
     """
 
     def __init__(
@@ -74,6 +75,7 @@
         settings: NodeSettings,
         tables: TableService | None = None,
         objects: ObjectStore | None = None,
+        sockets: ListenSockets | None = None,
     ):
         self.settings = settings
         seed = settings.seed or int.from_bytes(os.urandom(8), "big")
@@ -83,7 +85,8 @@
         self.members = MemberDirectory(self.node_id, settings.zone)
         self._stopped = False
         self._stop_lock = threading.Lock()
-        self._open_peer_sockets()
+        self._sockets = sockets or reserve(listen_addresses(settings))
+        self._take_peer_sockets()
         self.connections = PeerConnections()
         self._build_platform(tables, objects)
         self._build_gate()
@@ -94,9 +97,9 @@
 
     # Construction.
 
-    def _open_peer_sockets(self) -> None:
-        self._sockets = open_peer_sockets(parse_address(self.settings.peer_listen))
-        self.peer_address = self._sockets.address
+    def _take_peer_sockets(self) -> None:
+        self._gossip_socket = self._sockets.take("gossip")
+        self.peer_address = self._gossip_socket.getsockname()[:2]
         self.peer_host_port = f"{self.peer_address[0]}:{self.peer_address[1]}"
 
     def _build_platform(
@@ -193,7 +196,7 @@
             lambda count: self.quarantine.sample(time.monotonic(), count, self.rng),
         )
         self.gossip = Gossip(
-            local, Random(self.rng.random()), self._sockets.udp, callbacks
+            local, Random(self.rng.random()), self._gossip_socket, callbacks
         )
 
     def _build_membership(self) -> None:
@@ -226,23 +229,23 @@
             self.members.all,
             self._on_mark,
         )
-        self.peer_server = PeerServer(self._sockets.tcp, handler)
+        self.peer_server = PeerServer(self._sockets.take("peer"), handler)
         limits = ServerLimits(
             settings.threads, settings.max_body_bytes, settings.idle_timeout_s
         )
         self.watcher = DisconnectWatcher()
         self.router_server = CallerServer(
-            parse_address(settings.router_listen), self.ingress, limits, self.watcher
+            self._sockets.take("router"), self.ingress, limits, self.watcher
         )
         self.local_server = CallerServer(
-            parse_address(settings.local_listen),
+            self._sockets.take("local"),
             self.ingress,
             limits,
             self.watcher,
             pool_name=lambda: self.local_target.pool_name,
             target_control=self.local_target.control,
         )
-        self.admin = AdminServer(parse_address(settings.admin_listen), self)
+        self.admin = AdminServer(self._sockets.take("admin"), self)
 
     # Start and stop.
 
--- a/dogwooddock/operators/admin.py
+++ b/dogwooddock/operators/admin.py
@@ -3,6 +3,7 @@
 __all__ = ["AdminServer"]
 
 import json
+import socket
 import threading
 from collections.abc import Callable, Iterable
 from dataclasses import asdict
@@ -10,6 +11,7 @@
 
 from cheroot.wsgi import Server
 
+from ..reservedsocket import ReservedSocketServer
 from .metrics import render_metrics
 from .nodestate import InspectedNode
 from .state import dump_state
@@ -19,17 +21,21 @@
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
 
+class _Server(ReservedSocketServer, Server):
+    """Server of the library for an application, on a reserved socket."""
+
+
 class AdminServer:
     """Serve the admin port over HTTP.
 
     Args:
-        address: IP address and port to listen on; port 0 lets the system pick one.
+        sock: Listening socket; the server closes it.
         node: Node to inspect and control.
     """
 
-    def __init__(self, address: tuple[str, int], node: InspectedNode):
+    def __init__(self, sock: socket.socket, node: InspectedNode):
         self._node = node
-        self._server = Server(address, self._application, numthreads=ADMIN_THREADS)
+        self._server = _Server(sock, self._application, numthreads=ADMIN_THREADS)
         self._server.prepare()
         self.address: tuple[str, int] = self._server.bind_addr[:2]
 
--- a/dogwooddock/operators/cli.py
+++ b/dogwooddock/operators/cli.py
@@ -118,10 +118,15 @@
 def _run_node(settings: NodeSettings) -> None:
     from ..node import Node
     from .signals import NodeSignals
+    from .startup import NodeStart
 
     configure_logs(settings.log_level, name=settings.name)
     signals = NodeSignals()
-    running_node = _run_or_exit(lambda: Node(settings))
+    start = _run_or_exit(lambda: NodeStart(settings, signals))
+    sockets = _run_or_exit(start.reserve_addresses)
+    if sockets is None:
+        return
+    running_node = _run_or_exit(lambda: Node(settings, sockets=sockets))
     running_node.start()
     signals.wait_for_stop()
     running_node.stop()
--- a/dogwooddock/settings.py
+++ b/dogwooddock/settings.py
@@ -1,13 +1,15 @@
 """Settings of a node, from flags and environment variables."""
 
-__all__ = ["NodeSettings", "parse_address", "validate_settings"]
+__all__ = ["NodeSettings", "listen_addresses", "parse_address", "validate_settings"]
 
 import ipaddress
+import socket
 from typing import Any
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 
 from .errors import InvalidSettings
+from .listening import ListenAddress
 
 ENVIRONMENT_PREFIX = "DOGWOODDOCK_"
 
@@ -91,3 +93,18 @@
         value = repr(values.get(name))
         message = f"{flag} (or {variable}) is {value}: {error['msg']}; correct it"
         raise InvalidSettings(message) from exc
+
+
+def listen_addresses(settings: NodeSettings) -> list[ListenAddress]:
+    """Return the addresses that a node listens on, with the flags that name them."""
+    peer = parse_address(settings.peer_listen)
+    flag = "--peer-listen"
+    return [
+        ListenAddress("peer", flag, peer),
+        ListenAddress("gossip", flag, peer, socket.SOCK_DGRAM, port_of="peer"),
+        ListenAddress("admin", "--admin-listen", parse_address(settings.admin_listen)),
+        ListenAddress("local", "--local-listen", parse_address(settings.local_listen)),
+        ListenAddress(
+            "router", "--router-listen", parse_address(settings.router_listen)
+        ),
+    ]
--- a/tests/test_held_addresses.py
+++ b/tests/test_held_addresses.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import time
@@ -16,25 +17,30 @@
 ABSENT = (HOST, 9)
 LIMIT_S = 15.0
 POLL_PERIOD_S = 0.02
-# Port of each address of a node, counted from the first.
-PORTS = {"caller": 0, "ready": 2, "heartbeat": 3, "peer": 4}
 
 
 class NodeProcess:
     """A node on the platform, whose store and target are away."""
 
+    # Port of each address, counted from the first.
+    PORTS = {"caller": 0, "ready": 2, "heartbeat": 3, "peer": 4}
+
     def __init__(self, folder, base, text=None, **settings):
         path = folder / "settings.json"
         write_settings(path, 0, HOST, base, ABSENT, "shop", ABSENT, **settings)
         if text is not None:
             path.write_text(text)
-        self._caller = (HOST, base)
+        variables = {"DOGWOODDOCK_NODE_FILE": str(path)}
+        self._start(["dogwooddock.platform"], (HOST, base), variables)
+
+    def _start(self, arguments, caller, variables):
+        self._caller = caller
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "dogwooddock.platform"],
+            [sys.executable, "-m", *arguments],
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
             text=True,
-            env={**os.environ, "DOGWOODDOCK_NODE_FILE": str(path)},
+            env={**os.environ, **variables},
         )
 
     def __enter__(self):
@@ -58,6 +64,22 @@
         return False
 
 
+class OwnNodeProcess(NodeProcess):
+    """A node of the product's own interface, without tables."""
+
+    PORTS = {"router": 0, "local": 1, "peer": 2, "admin": 3}
+
+    def __init__(self, folder, base, **flags):
+        listen = {n: f"{HOST}:{base + port}" for n, port in self.PORTS.items()}
+        flags = {f"{n}-listen": text for n, text in (listen | flags).items()}
+        arguments = [f"--{flag}={text}" for flag, text in flags.items()]
+        command = ["dogwooddock", "node", "--name=n", "--zone=z", *arguments]
+        self._start(command, (HOST, base), {})
+
+
+KINDS = [NodeProcess, OwnNodeProcess]
+
+
 def _is_answered(address):
     try:
         with socket.create_connection(address, timeout=1.0) as sock:
@@ -80,44 +102,86 @@
     return [sock, server]
 
 
+def _hold_for_udp(address):
+    sock = socket.socket(type=socket.SOCK_DGRAM)
+    sock.bind(address)
+    return [sock]
+
+
 def _close(held):
     for sock in held:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        if sock.type == socket.SOCK_STREAM:
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
         sock.close()
 
 
-@pytest.mark.parametrize("name", PORTS)
-@pytest.mark.parametrize("hold", [_hold_as_listener, _hold_as_outgoing_connection])
+@pytest.mark.parametrize(
+    ("kind", "hold", "name"),
+    [
+        *(
+            (kind, hold, name)
+            for kind in KINDS
+            for hold in (_hold_as_listener, _hold_as_outgoing_connection)
+            for name in kind.PORTS
+        ),
+        (OwnNodeProcess, _hold_for_udp, "peer"),
+    ],
+)
 def test_node_starts_once_an_address_that_another_process_holds_is_free(
-    tmp_path, hold, name
+    tmp_path, kind, hold, name
 ):
     base = free_ports(PORTS_PER_NODE)
-    held = hold((HOST, base + PORTS[name]))
-    with NodeProcess(tmp_path, base) as node:
+    held = hold((HOST, base + kind.PORTS[name]))
+    with kind(tmp_path, base) as node:
         assert node.read_until("address_unavailable")
         _close(held)
         assert node.serves()
 
 
+@pytest.mark.parametrize("kind", KINDS)
 @pytest.mark.parametrize("lead_s", [0.0, 0.5])
 def test_node_that_starts_while_its_predecessor_drains_serves_after_it(
+    tmp_path, lead_s, kind
+):
+    base = free_ports(PORTS_PER_NODE)
+    with kind(tmp_path, base) as old:
+        assert old.serves()
+        old.process.send_signal(signal.SIGTERM)
+        time.sleep(lead_s)
+        with kind(tmp_path, base) as new:
+            assert old.process.wait(LIMIT_S) == 0
+            assert new.serves()
+
+
+@pytest.mark.parametrize("lead_s", [0.0, 0.3, 1.0])
+def test_node_that_starts_while_its_predecessor_reads_a_request_serves_after_it(
     tmp_path, lead_s
 ):
     base = free_ports(PORTS_PER_NODE)
-    with NodeProcess(tmp_path, base) as old:
+    with OwnNodeProcess(tmp_path, base) as old:
         assert old.serves()
+        caller = socket.create_connection((HOST, base), timeout=LIMIT_S)
+        caller.sendall(b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nx")
+        time.sleep(0.2)
         old.process.send_signal(signal.SIGTERM)
         time.sleep(lead_s)
-        with NodeProcess(tmp_path, base) as new:
+        with OwnNodeProcess(tmp_path, base) as new:
+            time.sleep(2.0)
+            caller.sendall(b"x")
+            assert caller.recv(64).startswith(b"HTTP/1.1 404 ")
+            caller.close()
             assert old.process.wait(LIMIT_S) == 0
             assert new.serves()
 
 
+@pytest.mark.parametrize("kind", KINDS)
 @pytest.mark.parametrize("signum", [signal.SIGTERM, signal.SIGINT])
-def test_stop_signal_ends_a_node_that_waits_for_an_address(tmp_path, signum):
+def test_stop_signal_ends_a_node_that_waits_for_an_address(tmp_path, signum, kind):
     base = free_ports(PORTS_PER_NODE)
     held = _hold_as_listener((HOST, base))
-    with NodeProcess(tmp_path, base) as node:
+    with kind(tmp_path, base) as node:
         assert node.read_until("address_unavailable")
         node.process.send_signal(signal.SIGHUP)
         node.process.send_signal(signum)
@@ -160,3 +224,25 @@
         assert node.process.wait(LIMIT_S) == 2
         log = node.process.stdout.read()
     assert "settings_refused" in log and "Traceback" not in log
+
+
+@pytest.mark.parametrize(
+    ("name", "text", "refused"),
+    [
+        ("peer", "192.0.2.256:1", "--peer-listen"),
+        ("admin", "fe80::1:1", "--admin-listen"),
+        ("local", "router", "--router-listen"),
+        ("admin", "peer", "--admin-listen"),
+    ],
+)
+def test_flag_that_can_never_be_listened_on_is_refused_by_its_name(
+    tmp_path, name, text, refused
+):
+    base = free_ports(PORTS_PER_NODE)
+    if text in OwnNodeProcess.PORTS:
+        text = f"{HOST}:{base + OwnNodeProcess.PORTS[text]}"
+    with OwnNodeProcess(tmp_path, base, **{name: text}) as node:
+        assert node.process.wait(LIMIT_S) == 2
+        text = node.process.stdout.read()
+    assert refused in text
+    assert "Traceback" not in text
--- a/tests/test_join.py
+++ b/tests/test_join.py
@@ -1,19 +1,27 @@
 """Tests of how nodes join the fleet, of the peer port and of settings errors."""
 
+import itertools
 import socket
 
 import pytest
 
 from dogwooddock.discovery import joining
 from dogwooddock.errors import InvalidSettings
+from dogwooddock.listening import reserve
 from dogwooddock.node import Node
-from dogwooddock.peers.sockets import open_peer_sockets
-from dogwooddock.settings import validate_settings
+from dogwooddock.settings import listen_addresses, validate_settings
 from dogwooddock.store.memory import MemoryObjectStore
 
 from .helpers import FaultyTables, MiniFleet
 
 
+def open_peer_sockets(host="127.0.0.1", port=0):
+    """Return the TCP and the UDP socket of a peer port."""
+    values = {"name": "n", "zone": "z", "peer_listen": f"{host}:{port}"}
+    sockets = reserve(listen_addresses(validate_settings(values))[:2])
+    return sockets.take("peer"), sockets.take("gossip")
+
+
 def start(tables, name, contacts=""):
     values = {"name": name, "zone": "zone-a", "threads": 8, "contacts": contacts}
     node = Node(validate_settings(values), tables, MemoryObjectStore())
@@ -60,20 +68,18 @@
     node.stop()
     with pytest.raises(ConnectionRefusedError):
         socket.create_connection((host, int(port)), 5.0)
-    sockets = open_peer_sockets((host, int(port)))
-    sockets.tcp.close()
-    sockets.udp.close()
+    for sock in open_peer_sockets(host, port):
+        sock.close()
 
 
 def test_peer_sockets_share_one_port_for_tcp_and_udp():
-    opened = [open_peer_sockets(("127.0.0.1", 0)) for _ in range(20)]
-    for sockets in opened:
-        assert sockets.tcp.getsockname()[1] == sockets.udp.getsockname()[1]
+    opened = [open_peer_sockets() for _ in range(20)]
+    for tcp, udp in opened:
+        assert tcp.getsockname() == udp.getsockname()
     with pytest.raises(InvalidSettings, match="choose another"):
-        open_peer_sockets(opened[0].address)
-    for sockets in opened:
-        sockets.tcp.close()
-        sockets.udp.close()
+        open_peer_sockets(*opened[0][0].getsockname())
+    for sock in itertools.chain(*opened):
+        sock.close()
 
 
 @pytest.mark.parametrize(
