Answer callers of the own interface that only close their sending side

What callers saw: a caller that sent its whole request, closed its sending side and awaited the answer got 499, and its work was cancelled, keyed work too.

Cause: the end of a caller's input was taken for the end of the caller.

Over HTTP/1.0 an idempotent request is cancelled as before, and another one is waited for (policy/endofinput.py).

--- a/dogwooddock/callers/ingress.py
+++ b/dogwooddock/callers/ingress.py
@@ -211,7 +211,8 @@
     def _send(self, pending: PendingRequest) -> CallerReply:
         req = pending.req
         if req.on_start is not None:
-            req.on_start(lambda: self._attempts.cancel(pending))
+            idempotent = pending.route.idempotent
+            req.on_start(lambda: self._attempts.cancel(pending), idempotent)
         with self.lock:
             self.deps.budget.earn(req.caller, pending.route.pool)
         ticket = parse_ticket(req.key) if req.key else None
--- a/dogwooddock/callers/messages.py
+++ b/dogwooddock/callers/messages.py
@@ -33,7 +33,7 @@
         timeout_ms: Timeout set by the caller, in milliseconds; 0 if it set none.
         local: Whether the local target sent the request.
         on_start: Called before the first attempt, with a function that cancels the
-            request.
+            request, and whether it is idempotent.
     """
 
     caller: str
@@ -45,7 +45,7 @@
     trace_id: str = ""
     timeout_ms: int = 0
     local: bool = False
-    on_start: Callable[[Callable[[], None]], None] | None = None
+    on_start: Callable[[Callable[[], None], bool], None] | None = None
 
 
 @dataclass(slots=True)
--- a/dogwooddock/callers/server.py
+++ b/dogwooddock/callers/server.py
@@ -26,6 +26,7 @@
     trace_id_of,
 )
 from ..listening import LISTEN_BACKLOG
+from ..policy.endofinput import on_end_of_input
 from ..policy.outcomes import Outcome, Reason
 from ..reservedsocket import ReservedSocketServer
 from .api import API_PREFIX, NodeApi, TargetControl
@@ -286,6 +287,12 @@
             if pair[0] not in (TRACEPARENT, IDEMPOTENCY_KEY)
         ]
         token = object()
+
+        def watch(cancel: Callable[[], None], idempotent: bool) -> None:
+            takes_interim = req.response_protocol == "HTTP/1.1"
+            at_end = on_end_of_input(takes_interim, idempotent)
+            self._watcher.watch(token, req.conn.socket, cancel, at_end)
+
         request = CallerRequest(
             caller=self._caller_name(headers),
             method=method,
@@ -296,7 +303,7 @@
             trace_id=trace_id_of(headers.get(TRACEPARENT, "")),
             timeout_ms=_timeout_ms(headers),
             local=local,
-            on_start=lambda cancel: self._watcher.watch(token, req.conn.socket, cancel),
+            on_start=watch,
         )
         try:
             return self.ingress.handle(request)
