Ignore signals in the last moments of a node of the own interface

What operators saw: a node that got signals until its end was ended by one of them (code -15 or -1 instead of 0), or hung for ever and had to be killed. A stop signal behind some hundred reload signals, while the node was built, was lost.

Cause: the socket that takes the signals was closed before the process ended; the interpreter then reports an error for each signal, under a lock that a second signal waits for on the same thread.

Change: signals are ignored once the node has stopped.

--- a/dogwooddock/operators/cli.py
+++ b/dogwooddock/operators/cli.py
@@ -122,14 +122,17 @@
 
     configure_logs(settings.log_level, name=settings.name)
     signals = NodeSignals()
-    start = _run_or_exit(lambda: NodeStart(settings, signals))
-    sockets = _run_or_exit(start.reserve_addresses)
-    if sockets is None:
-        return
-    running_node = _run_or_exit(lambda: Node(settings, sockets=sockets))
-    running_node.start()
-    signals.wait_for_stop()
-    running_node.stop()
+    try:
+        start = _run_or_exit(lambda: NodeStart(settings, signals))
+        sockets = _run_or_exit(start.reserve_addresses)
+        if sockets is None:
+            return
+        running_node = _run_or_exit(lambda: Node(settings, sockets=sockets))
+        running_node.start()
+        signals.wait_for_stop()
+        running_node.stop()
+    finally:
+        signals.ignore()
 
 
 @app.command()
