Take request targets in absolute form on the own interface

What callers saw: `GET http://app.example/path HTTP/1.1` got 400, although HTTP/1.1 asks servers to take it. A target with a broken IPv6 host got 500.

Cause: the HTTP library refuses the form unless it serves as a proxy, and lets the error of its URL parser through.

Change: the form is taken, and the host that it names replaces the Host header. CONNECT is refused with 405 as before, other schemes, users and missing hosts with 400.

--- a/dogwooddock/callers/server.py
+++ b/dogwooddock/callers/server.py
@@ -33,6 +33,7 @@
 from .disconnects import DisconnectWatcher
 from .ingress import Ingress
 from .messages import CallerReply, CallerRequest, problem_reply
+from .requesttarget import parse_request_target
 from .streams import ConnectionReader, ConnectionWriter
 
 KEEP_ALIVE_WAIT_S = 0.25
@@ -57,6 +58,22 @@
 
 
 class _Request(HTTPRequest):
+    def __init__(self, server: HTTPServer, conn: HTTPConnection):
+        # Otherwise the library refuses targets in absolute form.
+        super().__init__(server, conn, proxy_mode=True)
+
+    def read_request_line(self) -> bool:
+        """Read the request line; refuse what only a proxy serves."""
+        try:
+            valid = super().read_request_line()
+        except ValueError:
+            self.simple_response("400 Bad Request", "Malformed Request-URI")
+            return False
+        if valid and self.method == b"CONNECT":
+            self.simple_response("405 Method Not Allowed")
+            return False
+        return bool(valid)
+
     def simple_response(self, status: Any, msg: str = "") -> None:
         """Send a reply made by the HTTP library, with the outcome headers added."""
         code = str(status)[:3]
@@ -263,9 +280,10 @@
             for name, value in req.inheaders.items()
         }
         body = self._read_body(req)
-        path = req.uri.decode("latin-1")
-        if path.startswith("http://"):
-            path = "/" + path.split("/", 3)[3] if path.count("/") > 2 else "/"
+        target = parse_request_target(req.uri.decode("latin-1"))
+        path = target.path
+        if target.host:
+            headers["Host"] = target.host
         method = req.method.decode("latin-1")
         if path.startswith(API_PREFIX):
             caller, name = self._caller_name(headers), path.removeprefix(API_PREFIX)
