Cancel requests of callers that have gone without waiting for one another

Cause: the thread that watches for callers that go made the calls which cancel their work, one after the other. A peer that does not answer takes 0.5 s of each, and longer to connect to; the work of other callers that had gone went on meanwhile.

Change: each cancellation has a thread, at most one for each request in flight.

--- a/dogwooddock/callers/disconnects.py
+++ b/dogwooddock/callers/disconnects.py
@@ -131,6 +131,7 @@
                 sock.sendall(INTERIM_RESPONSE)
 
     def _cancel(self, token: object) -> None:
+        """Cancel a request on a thread of its own: the call to a peer may take long."""
         watch = self._watches.pop(token, None)
         if watch is not None:
-            watch.cancel()
+            threading.Thread(target=watch.cancel, daemon=True).start()
--- a/tests/test_node_half_close.py
+++ b/tests/test_node_half_close.py
@@ -11,7 +11,9 @@
 
 import pytest
 
+from dogwooddock.callers.disconnects import DisconnectWatcher
 from dogwooddock.errors import TargetError
+from dogwooddock.policy.endofinput import EndOfInput
 from dogwooddock.targets.client import TargetAnswer
 
 from .helpers import WAIT_S, MiniFleet, RecordingTarget
@@ -133,3 +135,25 @@
         if goes != "shuts down":
             sock.close()
         assert node.targets[-1].cancelled.wait(CANCEL_LIMIT_S)
+
+
+def test_cancellation_that_waits_for_a_peer_delays_no_other():
+    watcher, waiting, cancelled = DisconnectWatcher(), threading.Event(), [0.0] * 5
+    pairs = [socket.socketpair() for _ in cancelled]
+    watcher.start()
+    for index, (sock, _) in enumerate(pairs):
+
+        def cancel(index=index):
+            cancelled[index] = time.monotonic()
+            waiting.wait(WAIT_S)
+
+        watcher.watch(index, sock, cancel, EndOfInput.ASK)
+    closed_at = time.monotonic()
+    for _, peer in pairs:
+        peer.close()
+    time.sleep(CANCEL_LIMIT_S)
+    waiting.set()
+    watcher.stop()
+    for sock, _ in pairs:
+        sock.close()
+    assert all(closed_at < at < closed_at + CANCEL_LIMIT_S for at in cancelled)
