--- a/bench/soakrestarts.py
+++ b/bench/soakrestarts.py
@@ -63,14 +63,12 @@
 
     async def _signal_in_series(self, vm: SimulatedVM) -> None:
         """Replace, stop and reload nodes in series; the stops overlap."""
+        rng = self.restart_rng
         kinds = [self._replace_node, self._stop_node, self._reload_node]
         for _ in range(SIGNALS_IN_SERIES):
-            kind, other = (
-                self.restart_rng.choice(kinds),
-                self.restart_rng.choice(self.vms),
-            )
+            kind, other = rng.choice(kinds), rng.choice(self.vms)
             self.spawn(kind(other))
-            await asyncio.sleep(self.restart_rng.uniform(0.0, MAX_SERIES_GAP_S))
+            await asyncio.sleep(rng.uniform(0.0, MAX_SERIES_GAP_S))
 
     async def _change_routes(self, vm: SimulatedVM) -> None:
         """Store a version with many routes, or without them, while nodes restart."""
