Skip rows that name another node than their key does

A row of another writer in the table of nodes, with the address of a node and a later start, displaced that node's record at all nodes: its target was known under another id or in another pool, and the node itself took the record for its own, so that its target's heartbeats no longer counted.

Cause: rows were merged by the address in their value; their key, under which only the node itself writes, was not looked at.

Change: a row whose key is not that of the address in it is logged (record_malformed) and skipped, with its marks.

36 cases of tests/test_odd_entries.py (four keys, three pools, three states) failed before and pass now.

--- a/dogwooddock/mesh/memberrows.py
+++ b/dogwooddock/mesh/memberrows.py
@@ -11,7 +11,7 @@
 from .calls import NodeRecord
 from .marks import MarkExchange
 from .members import MemberTable, position_of
-from .recordrows import MalformedRecord, decode_marks, decode_record
+from .recordrows import MalformedRecord, decode_marks, decode_record, record_key
 from .rows import Row, RowStore
 
 MAX_LOGGED_CHARS = 200
@@ -59,6 +59,9 @@
     def merge(self, rows: tuple[Row, ...], version: int) -> MergedRows:
         """Merge rows of nodes; malformed ones are logged and skipped.
 
+        So are those that name another node than their key does, which that node has
+        not written.
+
         Args:
             rows: Rows of the store.
             version: Version of the store up to which these are all changes; 0 for rows
@@ -85,6 +88,10 @@
 
     def _add_record(self, row: Row, merged: MergedRows) -> None:
         record = decode_record(row.value)
+        if row.key != record_key(record.address):
+            raise MalformedRecord(
+                f"row names {record_key(record.address)}, another node; remove it"
+            )
         position = position_of(self._store.era, row.version)
         is_later = position > self._members.position
         (merged.later if is_later else merged.earlier).append(record)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -262,6 +262,30 @@
     assert "job_failed" not in capsys.readouterr().out
 
 
+@pytest.mark.parametrize("state", ["READY", "DRAINING", "GONE"])
+@pytest.mark.parametrize("pool", ["shop", "stock", "none"])
+@pytest.mark.parametrize("key", ["10.9.9.9:7400", "", "{}:{}x", "k" * 5000])
+def test_row_that_names_the_address_of_another_node_displaces_nothing(key, pool, state):
+    """Neither at the other nodes nor at the one that it names."""
+
+    async def scenario():
+        async with running_fleet("shop", "stock") as fleet:
+            named = fleet.vms[0].env.peer_listen
+            ip, port = named
+            row = {**RECORD, "ip": ip, "port": port, "pool": pool, "state": state}
+            value = json.dumps({**row, "born_ms": 2**62}).encode()
+            change = Change("members", "zone-a", key.format(*named), value)
+            await fleet.store.rows.transact([], [change])
+            await asyncio.sleep(1.5)
+            for vm in fleet.vms:
+                known = vm.node.fleet.members.find(named)
+                assert (known.pool, known.target_id) == ("shop", "t-0")
+                answer = await vm.send_request(request_id=f"req-{vm.env.name}")
+                assert status_of(answer) == 200
+
+    run(scenario())
+
+
 DIGITS = ["9" * 12, "9" * 400, "9" * 5000]
 
 
