Refuse starts of targets that no later target can pass

A check-in or a row of another writer whose target started at an impossible time (2^62, or microseconds in place of milliseconds) was taken for the latest lifetime. The real target's messages then counted as older ones for good: its drain was acknowledged and not in force, and other nodes knew the other target.

Cause: any whole number of 63 bits was taken as a start.

Change: a start after the year 2200 is malformed: a check-in gets 400, a row is logged and skipped. A start that is wrong by less still counts.

The heartbeat from which that file makes its odd ones lacked two fields and was refused for that alone; it is a valid one now.

--- a/dogwooddock/mesh/recordrows.py
+++ b/dogwooddock/mesh/recordrows.py
@@ -19,7 +19,7 @@
 
 from ..errors import DogwooddockError
 from ..jsontext import MAX_WHOLE_NUMBER, parse_json
-from ..policy.lifetimes import TargetState
+from ..policy.lifetimes import MAX_BORN_MS, TargetState
 from ..policy.quarantine import MARK_LIFETIME_S, Mark, MarkKind
 from .calls import NodeRecord
 
@@ -46,7 +46,7 @@
     zone: str
     pool: str
     target_id: str
-    born_ms: _WholeNumber
+    born_ms: int = Field(ge=0, le=MAX_BORN_MS, strict=True)
     sequence: _WholeNumber
     slots: int = Field(ge=0, le=MAX_SLOTS, strict=True)
     state: str
--- a/dogwooddock/platform/heartbeats.py
+++ b/dogwooddock/platform/heartbeats.py
@@ -8,12 +8,13 @@
 
 from ..http1.messages import Request
 from ..jsontext import MAX_WHOLE_NUMBER, parse_json
-from ..policy.lifetimes import Heartbeat, TargetState
+from ..policy.lifetimes import MAX_BORN_MS, Heartbeat, TargetState
 from .names import RPC_PATH
 from .values import FormatError, parse_address, parse_duration
 
 _RPC_CALLS = {"instances.heartbeat": "heartbeat", "instances.deregister": "leave"}
 _WholeNumber = Annotated[int, Field(ge=0, le=MAX_WHOLE_NUMBER)]
+_UnixMs = Annotated[int, Field(ge=0, le=MAX_BORN_MS)]
 _STATES = {"ready": TargetState.READY, "draining": TargetState.DRAINING}
 
 
@@ -33,7 +34,7 @@
     state: str
     cold_left: str
     seq: _WholeNumber
-    born: _WholeNumber
+    born: _UnixMs
 
 
 class _LeaveBody(BaseModel):
@@ -42,7 +43,7 @@
     model_config = ConfigDict(extra="ignore", strict=True)
 
     seq: _WholeNumber
-    born: _WholeNumber
+    born: _UnixMs
 
 
 def parse_rpc(request: Request) -> tuple[str, str]:
--- a/dogwooddock/policy/lifetimes.py
+++ b/dogwooddock/policy/lifetimes.py
@@ -5,13 +5,15 @@
 make the target ready again.
 """
 
-__all__ = ["Heartbeat", "LifetimeTracker", "TargetState"]
+__all__ = ["MAX_BORN_MS", "Heartbeat", "LifetimeTracker", "TargetState"]
 
 from collections import OrderedDict
 from dataclasses import dataclass, field, replace
 from enum import IntEnum
 
 MAX_DEPARTED_TARGETS = 64
+# Start of the year 2200. No target starts later; one would displace all others.
+MAX_BORN_MS = 7_258_118_400_000
 
 
 class TargetState(IntEnum):
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from bench.mesh_standin import TargetMode
+from bench.mesh_standin import TargetMode, TargetStandIn
 from dogwooddock.errors import DogwooddockError
 from dogwooddock.http1.client import ConnectionPool
 from dogwooddock.http1.messages import Response, render_request
@@ -27,6 +27,7 @@
 from dogwooddock.platform.desiredstate import decode_desired_state
 from dogwooddock.platform.heartbeats import decode_heartbeat, decode_leave
 from dogwooddock.platform.store import _decode_json, _parse_rows, _parse_version
+from dogwooddock.policy.lifetimes import MAX_BORN_MS, TargetState
 
 from .mesh_helpers import (
     DEFAULT_ROUTES,
@@ -68,6 +69,8 @@
 HEARTBEAT = {
     "service": "shop",
     "address": "10.9.9.9:8080",
+    "zone": "zone-a",
+    "version": "v1",
     "slots": 4,
     "state": "ready",
     "cold_left": "0ms",
@@ -286,6 +289,47 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("born", [MAX_BORN_MS + 1, 2**62, 1_796_477_923_520_000])
+@pytest.mark.parametrize("reader", ["record", "heartbeat", "leave"])
+def test_start_that_no_later_target_can_pass_is_refused(reader, born):
+    bodies = {
+        "record": lambda: decode_record(_with(RECORD, "born_ms", str(born))),
+        "heartbeat": lambda: decode_heartbeat(
+            "t-odd", _with(HEARTBEAT, "born", str(born))
+        ),
+        "leave": lambda: decode_leave(_with(LEAVE, "born", str(born))),
+    }
+    with pytest.raises(DogwooddockError, match="born"):
+        bodies[reader]()
+
+
+@pytest.mark.parametrize("source", ["row", "heartbeat"])
+def test_target_drains_after_an_entry_with_a_start_that_none_can_pass(source):
+    async def scenario():
+        async with running_fleet("shop", "stock") as fleet:
+            vm = fleet.vms[0]
+            ip, port = vm.env.peer_listen
+            if source == "row":
+                row = {**RECORD, "ip": ip, "port": port, "born_ms": 2**62}
+                value = json.dumps(row).encode()
+                change = Change("members", "zone-a", f"{ip}:{port}", value)
+                await fleet.store.rows.transact([], [change])
+            else:
+                odd = TargetStandIn("shop", target_id="t-odd")
+                odd.address = vm.target.address
+                odd.heartbeat_address = vm.env.heartbeat_listen
+                odd.born_ms = 2**62
+                assert await odd.send_heartbeat() == 400
+            await asyncio.sleep(1.5)
+            vm.target.state = "draining"
+            assert await vm.target.send_heartbeat() == 200
+            await asyncio.sleep(1.0)
+            known = fleet.vms[1].node.fleet.members.find(vm.env.peer_listen)
+            assert (known.target_id, known.state) == ("t-0", TargetState.DRAINING)
+
+    run(scenario())
+
+
 DIGITS = ["9" * 12, "9" * 400, "9" * 5000]
 
 
