Refuse an address beside one that stands for all addresses of its port

What operators saw: a node whose flags name 0.0.0.0 and another address with the same port waited for ever, and the log told them to end the process that holds it: itself.

Change: such a pair is refused by its flag, on the platform's path by its setting.

--- a/dogwooddock/listening.py
+++ b/dogwooddock/listening.py
@@ -15,6 +15,7 @@
 import socket
 from collections.abc import Iterable
 from dataclasses import dataclass
+from itertools import combinations
 
 import structlog
 
@@ -27,6 +28,7 @@
 LISTEN_BACKLOG = 1024
 # With port 0, the system may choose a TCP port whose UDP port is held.
 PORT_ATTEMPTS = 50
+WILDCARDS = frozenset({"0.0.0.0", "::"})
 # What another process, the VM's network or a limit causes may end by itself.
 TRANSIENT_ERRORS = frozenset(
     {
@@ -81,6 +83,17 @@
     return sock
 
 
+def _overlap(one: Address, other: Address) -> bool:
+    """Report whether no two sockets can listen on both addresses."""
+    (host, port), (other_host, other_port) = one, other
+    if port != other_port or not port:
+        return False
+    if host == other_host:
+        return True
+    same_family = (":" in host) == (":" in other_host)
+    return same_family and bool(WILDCARDS & {host, other_host})
+
+
 class ListenSockets:
     """Listening sockets by the names of their addresses."""
 
@@ -146,13 +159,12 @@
         self._sockets.clear()
 
     def _check_distinct(self) -> None:
-        settings: dict[Address, str] = {}
-        for wanted in self._addresses:
+        for one, other in combinations(self._addresses, 2):
             # A setting may stand for the TCP and the UDP port of one number.
-            other = settings.setdefault(wanted.address, wanted.setting)
-            if other != wanted.setting and wanted.address[1]:
+            if one.setting != other.setting and _overlap(one.address, other.address):
                 raise InvalidSettings(
-                    f"{wanted.setting}: {wanted} is that of {other} too; change one"
+                    f"{other.setting}: {other} is that of {one.setting} ({one}) too; "
+                    "change one"
                 )
 
     def _bind(self, wanted: ListenAddress) -> None:
--- a/tests/test_held_addresses.py
+++ b/tests/test_held_addresses.py
@@ -231,16 +231,19 @@
     [
         ("peer", "192.0.2.256:1", "--peer-listen"),
         ("admin", "fe80::1:1", "--admin-listen"),
-        ("local", "router", "--router-listen"),
-        ("admin", "peer", "--admin-listen"),
+        ("local", "127.0.0.1:router", "--router-listen"),
+        ("admin", "127.0.0.1:peer", "--admin-listen"),
+        ("admin", "0.0.0.0:peer", "--admin-listen"),
+        ("local", "0.0.0.0:router", "--local-listen"),
     ],
 )
 def test_flag_that_can_never_be_listened_on_is_refused_by_its_name(
     tmp_path, name, text, refused
 ):
     base = free_ports(PORTS_PER_NODE)
-    if text in OwnNodeProcess.PORTS:
-        text = f"{HOST}:{base + OwnNodeProcess.PORTS[text]}"
+    host, _, port = text.rpartition(":")
+    if port in OwnNodeProcess.PORTS:
+        text = f"{host}:{base + OwnNodeProcess.PORTS[port]}"
     with OwnNodeProcess(tmp_path, base, **{name: text}) as node:
         assert node.process.wait(LIMIT_S) == 2
         text = node.process.stdout.read()
