Record the headers of a request target's test without changing its fixture

Cause: the class that wrapped a shared fixture left it wrapped for the next case. Change: monkeypatch undoes it.

--- a/tests/test_request_targets.py
+++ b/tests/test_request_targets.py
@@ -7,20 +7,6 @@
 from .helpers import WAIT_S, MiniFleet
 
 
-class HeaderTarget:
-    """Note the path and the Host headers of requests, beside a recording target."""
-
-    def __init__(self, target):
-        self.seen = []
-        self._send = target.send
-        target.send = self._record
-
-    def _record(self, method, path, headers, *rest):
-        hosts = [value for name, value in headers if name.lower() == "host"]
-        self.seen.append((path, hosts))
-        return self._send(method, path, headers, *rest)
-
-
 @pytest.fixture(scope="module")
 def node():
     fleet = MiniFleet(1)
@@ -47,10 +33,19 @@
         ("/browse?a=http://x/", "/browse?a=http://x/", "other"),
     ],
 )
-def test_request_target_in_absolute_form_is_served(node, target, path, host):
-    target_headers = HeaderTarget(node.targets[0])
+def test_request_target_in_absolute_form_is_served(
+    node, monkeypatch, target, path, host
+):
+    seen, send = [], node.targets[0].send
+
+    def record(method, path, headers, *rest):
+        hosts = [value for name, value in headers if name.lower() == "host"]
+        seen.append((path, hosts))
+        return send(method, path, headers, *rest)
+
+    monkeypatch.setattr(node.targets[0], "send", record)
     assert status_of(node, f"GET {target}") == 200
-    assert target_headers.seen == [(path, [host])]
+    assert seen == [(path, [host])]
 
 
 @pytest.mark.parametrize(
