Keep lines of libraries from blocking a node whose standard error nobody reads

What operators saw: a node on the platform that ran out of descriptors while its standard error was a pipe that nobody read never answered again, and no stop signal ended it.

Cause: the lines of the event loop went to standard error, whose writes block. A failed accept alone logs up to 1024 of them, one for each connection that the backlog may hold.

Change: what libraries log becomes an event of the node, within its rate and on its output, which never blocks.

--- a/dogwooddock/logs.py
+++ b/dogwooddock/logs.py
@@ -12,6 +12,7 @@
 
 LINES_PER_S = 40.0
 BURST_LINES = 200.0
+MAX_LIBRARY_TEXT_CHARS = 500
 
 
 class RateLimitedWriter:
@@ -93,6 +94,20 @@
             pass
 
 
+class _LibraryHandler(logging.Handler):
+    """Write what libraries log as events, within the same rate."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log a record as an event."""
+        structlog.get_logger().log(
+            record.levelno,
+            "library_message",
+            library=record.name,
+            text=record.getMessage()[:MAX_LIBRARY_TEXT_CHARS],
+            exc_info=record.exc_info,
+        )
+
+
 class _RateLimitProcessor:
     """Drop an event that exceeds the writer's rate before it is rendered."""
 
@@ -110,12 +125,15 @@
 def configure_rate_limited_logs(level: str, **context: str) -> None:
     """Log to standard output as logfmt, rate-limited and without blocking.
 
+    The lines of libraries go there too: standard error blocks if nobody reads it.
+
     Args:
         level: Name of the lowest level to log.
         context: Key-value pairs to add to every line.
     """
     writer = RateLimitedWriter(sys.stdout.fileno())
     _configure(level, cast(TextIO, writer), [_RateLimitProcessor(writer)], context)
+    logging.basicConfig(handlers=[_LibraryHandler()])
 
 
 def configure_logs(level: str, **context: str) -> None:
