Answer whole requests that arrive together with one that cannot be read

What callers saw: a request that was sent whole got 400, and did not run, if the bytes behind it in the same segment could not be read: a faulty pipelined request, or anything behind a request with Connection: close. Of several pipelined ones only the 400 came, as if it answered the first. In segments of their own all were answered.

Cause: requests that the parser had completed were dropped when it failed.

Change: they are handled, and the 400 follows in its order. What follows the last request of a connection is ignored, as when it comes later. A request for an upgrade is still answered once, with 400.

--- a/dogwooddock/http1/connection.py
+++ b/dogwooddock/http1/connection.py
@@ -228,7 +228,7 @@
             requests = parser.feed(data)
         except HttpError as exc:
             error = exc
-            requests = parser.take_completed() if parser.drops_body else []
+            requests = parser.take_completed()
         if error is None and parser.wants_continue and not self._pending:
             parser.wants_continue = False
             self._transport.write(INTERIM_RESPONSE)
@@ -278,8 +278,9 @@
             exchange.respond(502, b"", b"the node failed; the request may have run\n")
 
     def _reject(self, error: HttpError) -> None:
-        if self._parser.drops_body:
-            self._parser.drops_body = False  # It is answered already.
+        if self._parser.drops_body or self._input_closed:
+            # It is answered already, or follows the last request.
+            self._parser.drops_body = False
             self._input_closed = True
             self._close_if_done()
             return
--- a/dogwooddock/http1/messages.py
+++ b/dogwooddock/http1/messages.py
@@ -191,7 +191,8 @@
         """Parse bytes and return the requests that they complete.
 
         Raises:
-            HttpError: The request is malformed or exceeds a limit.
+            HttpError: A request is malformed or exceeds a limit; ``take_completed``
+                returns those before it.
         """
         try:
             self._parser.feed_data(data)
@@ -251,10 +252,10 @@
         """Complete a request that is refused for its head.
 
         A client that waits for 100 Continue may leave the body out once it is refused,
-        so the connection can serve no further request.
+        so the connection can serve no further request. Nor can it after an upgrade.
         """
         head = self._build_request(b"")
-        if self.wants_continue:
+        if self.wants_continue or self._parser.should_upgrade():
             head.keep_alive = False
         if refuses_head(head):
             self._completed.append(head)
@@ -273,7 +274,7 @@
         self.wants_continue = False
         if self.drops_body:
             self.drops_body = False
-        else:
+        elif not self._parser.should_upgrade():  # It is not served.
             self._completed.append(self._build_request(self._join_body()))
 
     def _build_request(self, body: bytes) -> Request:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -267,3 +267,44 @@
             assert not server._http.connections
 
     run(scenario())
+
+
+BROKEN = b"GET /get HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"
+UPGRADE = b"GET /get HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n"
+UPGRADING_HEAD = head("no", BIG_BYTES, "Connection: upgrade", "Upgrade: h2c")
+LAST = b"GET /get HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+SLOW = b"GET /slow HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+@pytest.mark.parametrize("together", [True, False])
+@pytest.mark.parametrize(
+    ("first", "second", "statuses"),
+    [
+        (GET, BROKEN, [200, 400]),
+        (GET, UPGRADE, [200, 400]),
+        (SLOW, b"\0\r\n\r\n", [200, 400]),
+        (GET + SLOW, BROKEN, [200, 200, 400]),
+        (head("no") + BIG, BROKEN, [401, 400]),
+        (LAST, GET, [200]),
+        (LAST, BROKEN, [200]),
+        (b"", UPGRADE, [400]),
+        (UPGRADING_HEAD, BIG, [401]),
+    ],
+)
+def test_whole_request_ahead_of_one_that_cannot_be_read_is_answered(
+    first, second, statuses, together
+):
+    async def scenario():
+        async with Server() as server:
+            parts = [first + second] if together else [first, second]
+            for part in parts:
+                await server.send(part)
+            responses = [await server.response() for _ in statuses]
+            assert [status for status, _, _ in responses] == statuses
+            assert [closes for _, _, closes in responses].index(True) == (
+                len(statuses) - 1
+            )
+            assert await server.is_closed()
+            assert len(server.handled) == statuses.count(200)
+
+    run(scenario())
