Refuse JSON whose bytes are no UTF-8 but encode lone surrogates

A row, check-in or desired state with such bytes (ed a0 80) was taken up. A row with it in its zone ended the job that follows the table of nodes again and again (job_failed, UnicodeEncodeError): later changes of other nodes were not followed, since links cannot carry the text. A desired state with it came into force.

Cause: the JSON library decodes bytes with "surrogatepass", and the check for strings that cannot be encoded looked at escapes alone.

Change: such bytes are malformed, except in the store's answers, whose own strings are replaced as before.

--- a/dogwooddock/jsontext.py
+++ b/dogwooddock/jsontext.py
@@ -42,8 +42,10 @@
         MalformedJson: The text is malformed, or nested too deeply to be parsed.
         UnicodeDecodeError: The text is not encoded in UTF-8.
     """
+    errors = "surrogatepass" if any_string else "strict"
+    decoded = text.decode(json.detect_encoding(text), errors)
     try:
-        value = json.loads(text, parse_constant=_refuse_constant)
+        value = json.loads(decoded, parse_constant=_refuse_constant)
         if ESCAPE in text and not any_string:
             _require_encodable(value)
     except RecursionError:
@@ -60,7 +62,7 @@
         MalformedJson: The text is malformed, or nested too deeply to be parsed.
         UnicodeDecodeError: The text is not encoded in UTF-8.
     """
-    decoded = text.decode(json.detect_encoding(text), "surrogatepass")
+    decoded = text.decode(json.detect_encoding(text))
     reader = _StepReader(decoded, checks_strings=ESCAPE in text)
     try:
         return (yield from reader.read())
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -149,7 +149,11 @@
 
 
 def _with_lone_surrogates(body, names):
-    return [json.dumps({**body, name: "\ud800"}).encode() for name in names]
+    texts = [json.dumps({**body, name: "\ud800"}) for name in names]
+    texts += [
+        json.dumps({**body, name: "\ud800"}, ensure_ascii=False) for name in names
+    ]
+    return [text.encode("utf-8", "surrogatepass") for text in texts]
 
 
 @pytest.mark.parametrize(
@@ -158,14 +162,21 @@
         (decode_record, _with_lone_surrogates(RECORD, ("zone", "pool", "target_id"))),
         (
             decode_marks,
-            [json.dumps({"marks": [{**MARK, "request": "\ud800"}]}).encode()],
+            [
+                b'{"marks":[' + mark + b"]}"
+                for mark in _with_lone_surrogates(MARK, ("request",))
+            ],
         ),
         (
             lambda body: decode_heartbeat("t-odd", body),
             _with_lone_surrogates(HEARTBEAT, ("service",)),
         ),
+        (
+            decode_desired_state,
+            _with_lone_surrogates({"version": "r1", "resources": []}, ("more",)),
+        ),
     ],
-    ids=["record", "marks", "heartbeat"],
+    ids=["record", "marks", "heartbeat", "desired state"],
 )
 def test_text_that_cannot_be_encoded_is_refused(reader, bodies):
     for body in bodies:
@@ -235,6 +246,7 @@
     "negative port": _with(RECORD, "port", "-5"),
     "ip": _with(RECORD, "ip", '"256.1.1.1"'),
     "mark": _with(RECORD, "marks", f"[{_with(MARK, 'node', '9' * 30).decode()}]"),
+    "text": _with(RECORD, "zone", '"MARK"').replace(b"MARK", b"\xed\xa0\x80"),
     "nested mark": _with(RECORD, "marks", f"[{DEEP.decode()}]"),
 }
 
