Hold no body of a request that is answered

What operators saw: a node kept the last bodies of each idle connection, and those of many answered requests until the collector ran; processes near memory_mb were killed.

Cause: the parsers kept the chunks of a body until the next message, connections to a target the last call, and exchange, pending request and gate call referred to each other in circles, which only the garbage collector frees, seldom.

Change: a parser gives its chunks away, a connection forgets the call that it has answered, and callbacks are dropped once they were called.

--- a/dogwooddock/http1/client.py
+++ b/dogwooddock/http1/client.py
@@ -191,8 +191,7 @@
 
     def _finish(self, response: Response, extra_data: bool) -> None:
         """Complete the request; close the connection if it cannot be reused."""
-        on_result, self._on_result = self._on_result, None
-        self._drop_buffer()
+        on_result = self._take_callback()
         self._completed_requests += 1
         self.idle_since = self._loop.time()
         self._update_idle_limit(response)
@@ -212,13 +211,16 @@
         """Close the connection and fail its request, whose response is unusable."""
         self._fail(cause, closed_by_peer=False)
 
-    def _drop_buffer(self) -> None:
+    def _take_callback(self) -> Callable[[Result], None] | None:
+        """Return the callback of the request; nothing of the request is held on."""
+        on_result, self._on_result = self._on_result, None
+        self._matches = _accept_any
         if self._memory is not None:
             self._memory.set_held(self, 0)
+        return on_result
 
     def _fail(self, cause: str, closed_by_peer: bool) -> None:
-        on_result, self._on_result = self._on_result, None
-        self._drop_buffer()
+        on_result = self._take_callback()
         if not closed_by_peer and self.usable:
             self._transport.abort()
             self.usable = False
@@ -261,8 +263,7 @@
 
     def abort(self) -> None:
         """Abort the connection without reporting a result for its request."""
-        self._on_result = None
-        self._drop_buffer()
+        self._take_callback()
         if self.usable:
             self.usable = False
             self._transport.abort()
--- a/dogwooddock/http1/connection.py
+++ b/dogwooddock/http1/connection.py
@@ -127,6 +127,7 @@
         """
         if self._response is None:
             self._response = (status, block, body)
+            self.on_disconnect = None  # It refers to this exchange in turn.
             self._conn.flush()
 
     def write_raw(self, data: bytes, close: bool = False, reset: bool = False) -> None:
@@ -411,8 +412,9 @@
             self._half_close.stop()
         self._server.connections.discard(self)
         for exchange in self._pending:
-            if not exchange.answered and exchange.on_disconnect is not None:
-                exchange.on_disconnect()
+            on_disconnect, exchange.on_disconnect = exchange.on_disconnect, None
+            if on_disconnect is not None:
+                on_disconnect()
         self._pending.clear()
 
     def sweep(self, now: float) -> None:
--- a/dogwooddock/http1/messages.py
+++ b/dogwooddock/http1/messages.py
@@ -149,8 +149,10 @@
             raise HttpError(413, "the body is too large; send a smaller one")
         self._chunks.append(chunk)
 
-    def _join_body(self) -> bytes:
-        return self._chunks[0] if len(self._chunks) == 1 else b"".join(self._chunks)
+    def _take_body(self) -> bytes:
+        """Return the whole body, which the parser holds no longer."""
+        chunks, self._chunks = self._chunks, []
+        return chunks[0] if len(chunks) == 1 else b"".join(chunks)
 
 
 def _callback_error(exc: Exception) -> HttpError | None:
@@ -275,7 +277,7 @@
         if self.drops_body:
             self.drops_body = False
         elif not self._parser.should_upgrade():  # It is not served.
-            self._completed.append(self._build_request(self._join_body()))
+            self._completed.append(self._build_request(self._take_body()))
 
     def _build_request(self, body: bytes) -> Request:
         parser = self._parser
@@ -372,7 +374,7 @@
             self._parser.get_status_code(),
             self._headers,
             self._fields,
-            self._join_body(),
+            self._take_body(),
             keep_alive,
         )
 
--- a/dogwooddock/mesh/gate.py
+++ b/dogwooddock/mesh/gate.py
@@ -249,6 +249,7 @@
     def _finish(self, gate_call: GateCall, reply: MeshReply) -> None:
         if gate_call.finished:
             return
+        done = gate_call.done
         self._end(gate_call)
         call = gate_call.call
         if call.target_id:  # A question for a level has none.
@@ -256,10 +257,11 @@
         reply.load = self.load(call.route)
         reply.below_level = gate_call.below_level
         reply.chain_level = self.chains.highest_level(self._loop.time(), call.route)
-        gate_call.done(reply)
+        done(reply)
 
     def _end(self, gate_call: GateCall) -> None:
         gate_call.stage = Stage.FINISHED
+        gate_call.done = _drop_reply  # It may refer to this call in turn.
         if gate_call.timer is not None:
             gate_call.timer.cancel()
         if self._suspects.leave(gate_call):
@@ -341,3 +343,7 @@
                 return
             self._runs.abort(gate_call)
         self._end(gate_call)
+
+
+def _drop_reply(reply: MeshReply) -> None:
+    """Drop the reply to a call that has ended."""
--- /dev/null
+++ b/tests/test_held_bytes.py
@@ -0,0 +1,83 @@
+"""Memory of bodies that a node holds while callers stall, or after it has answered."""
+
+import asyncio
+import gc
+import tracemalloc
+from contextlib import contextmanager
+
+import pytest
+
+from bench.mesh_standin import TargetMode
+from dogwooddock.http1.client import ConnectionPool
+from dogwooddock.http1.messages import Response, render_request
+from dogwooddock.http1.server import HttpServer
+
+from .mesh_helpers import running_fleet, wait_until
+
+BODY_BYTES = 900_000
+REQUESTS = 12
+
+
+@contextmanager
+def traced_memory():
+    """Trace allocations, without the collector that would free cycles at times."""
+    gc.collect()
+    gc.disable()
+    tracemalloc.start()
+    try:
+        yield lambda: tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+
+
+def upload(number, size=BODY_BYTES):
+    block = (
+        f"Host: app.example\r\nDogwooddock-Request-Id: up-{number}\r\n"
+        "Dogwooddock-Deadline-Ms: 5000\r\n"
+    ).encode()
+    return render_request(b"POST", b"/stock/1", block, b"x" * size)
+
+
+async def exchange_all(address):
+    """Send a request on each of many connections, which stay open."""
+    pool = ConnectionPool(address)
+    conns = [await pool.open() for _ in range(REQUESTS)]
+    for number, conn in enumerate(conns):
+        result = await conn.exchange(upload(number))
+        assert isinstance(result, Response) and result.status == 200, result
+    return conns
+
+
+def test_idle_connections_hold_no_body_of_an_answered_request():
+    async def scenario():
+        server = HttpServer(lambda exchange: exchange.respond(200, b"", b"a" * 10))
+        address = await server.start(("127.0.0.1", 0))
+        with traced_memory() as traced:
+            conns = await exchange_all(address)
+            held = traced()
+        for conn in conns:
+            conn.close()
+        server.stop()
+        return held
+
+    assert asyncio.run(scenario()) < 2 * BODY_BYTES
+
+
+@pytest.mark.parametrize("ingress", [0, 1], ids=["local-target", "over-a-link"])
+def test_nodes_hold_no_body_of_an_answered_request(ingress):
+    async def scenario():
+        async with running_fleet("stock", "shop") as fleet:
+            target = fleet.vms[0].target
+            target.mode = TargetMode(body_bytes=BODY_BYTES)
+            node = fleet.vms[ingress].node
+            await wait_until(lambda: node.fleet.has_members("stock"))
+            with traced_memory() as traced:
+                conns = await exchange_all(fleet.vms[ingress].env.caller_listen)
+                target.runs.clear()
+                held = traced()
+            for conn in conns:
+                conn.close()
+            return held
+
+    assert asyncio.run(scenario()) < 4 * BODY_BYTES
