Hold no part of a body whose connection has ended

What operators saw: uploads that broke off and answers that were given up stayed in memory until the garbage collector ran.

Cause: a parser and its C part refer to each other, so the body's chunks were freed only with that cycle.

Change: the chunks are dropped when the message can't be completed any more.

--- a/dogwooddock/http1/client.py
+++ b/dogwooddock/http1/client.py
@@ -225,6 +225,7 @@
             self._transport.abort()
             self.usable = False
         self.close()
+        self._parser.drop_body()  # The parser refers to itself.
         if on_result is not None:
             on_result(
                 RequestFailure(
@@ -264,6 +265,7 @@
     def abort(self) -> None:
         """Abort the connection without reporting a result for its request."""
         self._take_callback()
+        self._parser.drop_body()
         if self.usable:
             self.usable = False
             self._transport.abort()
--- a/dogwooddock/http1/connection.py
+++ b/dogwooddock/http1/connection.py
@@ -285,6 +285,7 @@
             self._input_closed = True
             self._close_if_done()
             return
+        self._parser.drop_body()
         exchange = Exchange(Request(keep_alive=False), self, self._last_activity_at)
         self._pending.append(exchange)
         self._input_closed = True
@@ -416,6 +417,7 @@
             if on_disconnect is not None:
                 on_disconnect()
         self._pending.clear()
+        self._parser.drop_body()  # The parser refers to itself.
 
     def sweep(self, now: float) -> None:
         """Apply the timeouts, and close an idle connection while draining."""
--- a/dogwooddock/http1/messages.py
+++ b/dogwooddock/http1/messages.py
@@ -149,6 +149,10 @@
             raise HttpError(413, "the body is too large; send a smaller one")
         self._chunks.append(chunk)
 
+    def drop_body(self) -> None:
+        """Hold no part of an incomplete body; the message can't be completed."""
+        self._chunks.clear()
+
     def _take_body(self) -> bytes:
         """Return the whole body, which the parser holds no longer."""
         chunks, self._chunks = self._chunks, []
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -8,7 +8,7 @@
 import pytest
 
 from bench.mesh_standin import TargetMode
-from dogwooddock.http1.client import ConnectionPool
+from dogwooddock.http1.client import ConnectionPool, RequestFailure
 from dogwooddock.http1.messages import Response, render_request
 from dogwooddock.http1.server import HttpServer
 
@@ -81,3 +81,52 @@
             return held
 
     assert asyncio.run(scenario()) < 4 * BODY_BYTES
+
+
+async def stall_all(address):
+    """Send all but the last byte of a request on each of many connections."""
+    writers = []
+    for number in range(REQUESTS):
+        _, writer = await asyncio.open_connection(*address)
+        writer.write(upload(number)[:-1])
+        await writer.drain()
+        writers.append(writer)
+    return writers
+
+
+def test_closed_connections_hold_no_part_of_an_incomplete_body():
+    async def scenario():
+        server = HttpServer(lambda exchange: exchange.respond(200, b"", b""))
+        address = await server.start(("127.0.0.1", 0))
+        with traced_memory() as traced:
+            writers = await stall_all(address)
+            await wait_until(lambda: traced() > REQUESTS * BODY_BYTES * 0.8)
+            for writer in writers:
+                writer.close()
+            await wait_until(lambda: not server.connections)
+            held = traced()
+        server.stop()
+        return held
+
+    assert asyncio.run(scenario()) < 2 * BODY_BYTES
+
+
+def test_lost_target_connections_hold_no_part_of_an_incomplete_answer():
+    def cut(exchange):
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % BODY_BYTES
+        exchange.write_raw(head + b"x" * (BODY_BYTES - 1), close=True)
+
+    async def scenario():
+        server = HttpServer(cut)
+        address = await server.start(("127.0.0.1", 0))
+        with traced_memory() as traced:
+            for _ in range(REQUESTS):
+                conn = await ConnectionPool(address).open()
+                result = await conn.exchange(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                assert isinstance(result, RequestFailure)
+                del conn
+            held = traced()
+        server.stop()
+        return held
+
+    assert asyncio.run(scenario()) < 3 * BODY_BYTES
