Read no more request bodies than the memory of the process allows

What callers saw: uploads that stalled filled their node's memory; beyond limits.memory_mb its process was killed, and all that it had taken was lost.

Cause: every body was read as it came; memory_mb of the settings was not used.

Change: policy/heldbytes.py divides a budget, which follows from memory_mb, among bodies. A request whose body (over 16 KB) finds no room is not read on: the body waits in the kernel, in order, and its timeout begins once it is read; after 10 s it gets a 503. Small requests are always read. A memory_mb that is too small is refused at the start. Connections read 32 KB at a time, so that little comes before a pause holds.

--- a/dogwooddock/http1/connection.py
+++ b/dogwooddock/http1/connection.py
@@ -16,11 +16,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import cast
+from typing import Any, cast
 
 import structlog
 
 from ..policy.halfclose import HalfClosePolicy, keeps_open
+from ..policy.heldbytes import SMALL_BODY_BYTES, Claim, Held, HeldBytes
 from .halfclose import INTERIM_RESPONSE, HalfCloseWatch
 from .messages import HttpError, Request, RequestParser, render_response
 from .sockets import tune_socket
@@ -29,6 +30,9 @@
 SLOW_READER_TIMEOUT_S = 10.0
 # Time in which a client closes a connection after its last response.
 LINGER_S = 1.0
+READ_BYTES = 32 * 1024
+# Longest wait of a request for memory for its body.
+MEMORY_WAIT_S = 10.0
 WRITE_HIGH_WATER_BYTES = 256 * 1024
 RESET_DELAY_S = 0.01
 
@@ -71,12 +75,14 @@
     ``on_disconnect`` is called if the client disconnects before the response.
     ``must_be_answered``, if set, tells whether the request may run and may not be
     repeated.
+    ``body_claim`` is the memory that the request's body holds, if it is counted.
     """
 
     __slots__ = (
         "_conn",
         "_response",
         "arrived_at",
+        "body_claim",
         "must_be_answered",
         "on_disconnect",
         "request",
@@ -87,6 +93,7 @@
         self.arrived_at = arrived_at
         self.on_disconnect: Callable[[], None] | None = None
         self.must_be_answered: Callable[[], bool] | None = None
+        self.body_claim: Claim | None = None
         self._conn = conn
         self._response: tuple[int, bytes, bytes] | None = None
 
@@ -127,7 +134,8 @@
         """
         if self._response is None:
             self._response = (status, block, body)
-            self.on_disconnect = None  # It refers to this exchange in turn.
+            # They refer to this exchange in turn.
+            self.on_disconnect = self.must_be_answered = None
             self._conn.flush()
 
     def write_raw(self, data: bytes, close: bool = False, reset: bool = False) -> None:
@@ -159,6 +167,7 @@
         handler: Called with each exchange on the event loop; must not block.
         limits: Size limits and timeouts of connections; new ones hold from the next
             request of each connection on.
+        memory: Budget for bodies; without a limit if it is None.
 
     ``head_check``, if set, is called on the event loop with each request that has a
     body, before the body is received. If it answers the request, the handler is not
@@ -167,8 +176,14 @@
     not, they count as disconnected. Its handler must answer each request in time.
     """
 
-    def __init__(self, handler: Handler, limits: ServerLimits | None = None):
+    def __init__(
+        self,
+        handler: Handler,
+        limits: ServerLimits | None = None,
+        memory: HeldBytes | None = None,
+    ):
         self.handler = handler
+        self.memory = memory or HeldBytes()
         self.head_check: Handler | None = None
         self.answers_half_closed = False
         self.limits = limits or ServerLimits()
@@ -195,6 +210,9 @@
         self._write_paused_at: float | None = None
         self._input_closed = False
         self._lingering = False
+        self._body_claim: Claim | None = None
+        self._unwritten_claim: Claim | None = None
+        self._waits_for_memory_since: float | None = None
         self._loop = asyncio.get_running_loop()
         self._last_activity_at = self._loop.time()
         self._transport: asyncio.Transport
@@ -207,6 +225,8 @@
         """Start serving the connection."""
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        # Of asyncio's socket transports: the most that is read before a pause holds.
+        cast(Any, self._transport).max_size = READ_BYTES
         tune_socket(self._transport)
         peer = self._transport.get_extra_info("peername")
         self.peer_host = peer[0] if peer else ""
@@ -230,16 +250,91 @@
         except HttpError as exc:
             error = exc
             requests = parser.take_completed()
-        if error is None and parser.wants_continue and not self._pending:
-            parser.wants_continue = False
-            self._transport.write(INTERIM_RESPONSE)
+        may_continue = not self._pending
         for request in requests:
             self._handle_request(request)
+        if error is None and parser.in_message:
+            self._claim_body()
+            if may_continue:
+                self._continue()
         if error is not None:
             self._reject(error)
         elif was_dropping:
             self._close_if_done()
 
+    def _continue(self) -> None:
+        """Let a client send its body that awaits 100 Continue, if there is memory."""
+        if self._parser.wants_continue and self._waits_for_memory_since is None:
+            self._parser.wants_continue = False
+            self._transport.write(INTERIM_RESPONSE)
+
+    # Memory for bodies.
+
+    def _claim_body(self) -> None:
+        """Claim memory for the body that is arriving; read no more until granted."""
+        parser = self._parser
+        if self._body_claim is not None or parser.drops_body or self._input_closed:
+            return
+        size = parser.expected_body_bytes()
+        if size <= SMALL_BODY_BYTES:
+            return
+        memory = self._server.memory
+        self._body_claim = memory.ask(Held.REQUEST, size, self._read_body)
+        if not self._body_claim.granted:
+            self._waits_for_memory_since = self._loop.time()
+            self._transport.pause_reading()
+
+    def _read_body(self) -> None:
+        """Read on, as there is memory for the body; its timeout starts anew."""
+        self._waits_for_memory_since = None
+        self._last_activity_at = self._loop.time()
+        self._resume_reading()
+        if not self._pending:
+            self._continue()
+
+    def _resume_reading(self) -> None:
+        if (
+            self._waits_for_memory_since is None
+            and self._write_paused_at is None
+            and len(self._pending) < MAX_PIPELINED_REQUESTS
+        ):
+            self._transport.resume_reading()
+
+    def _hold_body(self, exchange: Exchange) -> None:
+        """Count the body of a complete request until it is answered."""
+        claim, self._body_claim = self._body_claim, None
+        size = len(exchange.request.body)
+        memory = self._server.memory
+        if claim is not None:
+            memory.resize(claim, size)
+            exchange.body_claim = claim
+        elif size > SMALL_BODY_BYTES:
+            exchange.body_claim = memory.hold(Held.REQUEST, size)
+
+    def _free_body(self, exchange: Exchange) -> None:
+        claim, exchange.body_claim = exchange.body_claim, None
+        if claim is not None:
+            self._server.memory.release(claim)
+
+    def _drop_incomplete_body(self) -> None:
+        """Free the part of a body that has arrived, as the rest is not read."""
+        self._parser.drop_body()  # The parser refers to itself.
+        self._waits_for_memory_since = None
+        claim, self._body_claim = self._body_claim, None
+        if claim is not None:
+            self._server.memory.release(claim)
+
+    def _count_unwritten(self) -> None:
+        """Count what the client has not taken yet."""
+        claim, size = self._unwritten_claim, self.unwritten_bytes
+        memory = self._server.memory
+        if claim is not None:
+            memory.resize(claim, size)
+        elif size > SMALL_BODY_BYTES:
+            self._unwritten_claim = memory.hold(Held.ANSWER, size)
+
+    # Requests and responses.
+
     def _refuses_head(self, head: Request) -> bool:
         """Let the server answer a request from its head; return whether it did."""
         check = self._server.head_check
@@ -265,6 +360,8 @@
             else Exchange(request, self, self._last_activity_at)
         )
         self._pending.append(exchange)
+        if self._body_claim is not None or request.body:
+            self._hold_body(exchange)
         self._input_closed = not request.keep_alive
         if len(self._pending) >= MAX_PIPELINED_REQUESTS:
             self._transport.pause_reading()
@@ -285,7 +382,7 @@
             self._input_closed = True
             self._close_if_done()
             return
-        self._parser.drop_body()
+        self._drop_incomplete_body()
         exchange = Exchange(Request(keep_alive=False), self, self._last_activity_at)
         self._pending.append(exchange)
         self._input_closed = True
@@ -303,12 +400,14 @@
             close = self._input_closed and not pending
             to_head = exchange.request.method == b"HEAD"
             self._transport.write(render_response(*response, close, to_head))
+            self._free_body(exchange)
             self._last_activity_at = self._loop.time()
+            if self._unwritten_claim is not None or len(response[2]) > SMALL_BODY_BYTES:
+                self._count_unwritten()
             if close:
                 self._close_if_done()
                 return
-        if len(pending) < MAX_PIPELINED_REQUESTS and self._write_paused_at is None:
-            self._transport.resume_reading()
+        self._resume_reading()
 
     def _close_if_done(self) -> None:
         """Close once every request is answered and no discarded body is still arriving.
@@ -327,6 +426,7 @@
         if self._lingering or self.closed or self._transport.is_closing():
             return
         self._input_closed = self._lingering = True
+        self._drop_incomplete_body()
         if self._half_close is not None:
             self._transport.close()
             return
@@ -374,7 +474,8 @@
     def resume_writing(self) -> None:
         """Read on, once the client has taken its responses."""
         self._write_paused_at = None
-        self._transport.resume_reading()
+        self._count_unwritten()
+        self._resume_reading()
         if self._server.closing_idle:
             self.sweep(self._loop.time())
 
@@ -385,6 +486,7 @@
             return False
         self._input_closed = True
         self._parser.drops_body = False
+        self._drop_incomplete_body()
         if self._half_close is None:
             version = self._parser.http_version
             policy = HalfClosePolicy(self._loop.time(), version)
@@ -416,11 +518,15 @@
             on_disconnect, exchange.on_disconnect = exchange.on_disconnect, None
             if on_disconnect is not None:
                 on_disconnect()
+            self._free_body(exchange)
         self._pending.clear()
-        self._parser.drop_body()  # The parser refers to itself.
+        self._drop_incomplete_body()
+        self._count_unwritten()
 
     def sweep(self, now: float) -> None:
         """Apply the timeouts, and close an idle connection while draining."""
+        if self._unwritten_claim is not None:
+            self._count_unwritten()
         if self._lingering:
             limit_s = SLOW_READER_TIMEOUT_S if self.unwritten_bytes else LINGER_S
             if now - self._last_activity_at > limit_s:
@@ -430,6 +536,11 @@
             if now - self._write_paused_at > SLOW_READER_TIMEOUT_S:
                 self._transport.abort()
             return
+        if self._waits_for_memory_since is not None:
+            if now - self._waits_for_memory_since > MEMORY_WAIT_S:
+                text = "the node has no memory for the body; resend it later"
+                self._reject(HttpError(503, text))
+            return
         if self._pending:
             return
         idle_s = now - self._last_activity_at
--- a/dogwooddock/http1/messages.py
+++ b/dogwooddock/http1/messages.py
@@ -250,6 +250,18 @@
         others = [pair for pair in self._headers if pair[0].lower() != b"host"]
         self._headers = [(b"Host", absolute.host), *others]
 
+    def expected_body_bytes(self) -> int:
+        """Return the size that the body of the incomplete request may reach, in bytes.
+
+        One of unknown length counts once its first bytes have come.
+        """
+        if not self._in_body:
+            return 0
+        length = self._fields.get(b"content-length")
+        if length is not None:
+            return min(int(length), self.max_body_bytes)
+        return self.max_body_bytes if self._body_bytes else 0
+
     def _expects_body(self) -> bool:
         length = self._fields.get(b"content-length", b"0")
         return length != b"0" or b"transfer-encoding" in self._fields
--- a/dogwooddock/http1/server.py
+++ b/dogwooddock/http1/server.py
@@ -6,6 +6,7 @@
 import socket
 
 from ..listening import LISTEN_BACKLOG, Address, bind_socket
+from ..policy.heldbytes import HeldBytes
 from .connection import (
     ClientState,
     Connection,
@@ -21,8 +22,13 @@
 class HttpServer(ServerState):
     """Listen on an address and pass complete requests to a handler."""
 
-    def __init__(self, handler: Handler, limits: ServerLimits | None = None):
-        super().__init__(handler, limits)
+    def __init__(
+        self,
+        handler: Handler,
+        limits: ServerLimits | None = None,
+        memory: HeldBytes | None = None,
+    ):
+        super().__init__(handler, limits, memory)
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
 
--- a/dogwooddock/mesh/environment.py
+++ b/dogwooddock/mesh/environment.py
@@ -58,6 +58,7 @@
         bounds: Limits of the deployment.
         operator_listen: Address for metrics and the state dump, or None.
         chain_levels: Whether to refuse requests whose runs could not be completed.
+        memory_mb: Memory that the process may use, in megabytes.
     """
 
     name: str
@@ -74,3 +75,4 @@
     bounds: Bounds
     operator_listen: Address | None = None
     chain_levels: bool = False
+    memory_mb: float = 300.0
--- a/dogwooddock/mesh/inspected.py
+++ b/dogwooddock/mesh/inspected.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 
 from ..peers.traffic import TrafficAccount
+from ..policy.heldbytes import HeldBytes
 from .announcer import Announcer
 from .config import ConfigHolder
 from .configproofs import ConfigProofs
@@ -24,6 +25,7 @@
     config: ConfigHolder
     config_proofs: ConfigProofs | None
     traffic: TrafficAccount
+    memory: HeldBytes
     marks: MarkExchange
     gate: Gate
     fleet: Fleet
--- a/dogwooddock/mesh/listeners.py
+++ b/dogwooddock/mesh/listeners.py
@@ -35,7 +35,8 @@
         ready_path: Path of the readiness probe.
         read_heartbeat: Parses a message of the local target: a heartbeat, or the id,
             start time and sequence number of a target that leaves.
-        node: Node whose readiness, metrics and state are reported.
+        node: Node whose readiness, metrics and state are reported, and whose memory
+            the bodies of callers use.
     """
 
     def __init__(
@@ -52,7 +53,7 @@
         self._read_heartbeat = read_heartbeat
         self._node = node
         self._check_head = ingress.check_head
-        self.caller_server = HttpServer(ingress.handle)
+        self.caller_server = HttpServer(ingress.handle, memory=node.memory)
         self.caller_server.answers_half_closed = True
         self._ready_server = HttpServer(self._on_probe)
         self._heartbeat_server = HttpServer(self._on_heartbeat)
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -29,6 +29,7 @@
 from ..peers.linkserver import LinkServer
 from ..peers.traffic import TrafficAccount
 from ..policy.chains import ChainAdmission
+from ..policy.heldbytes import HeldBytes, budget_bytes
 from ..policy.lifetimes import Heartbeat
 from ..policy.quarantine import Mark
 from ..policy.retryallowance import RetryAllowance
@@ -112,6 +113,7 @@
         self._stopping = asyncio.Event()
         self.node_id = node_id_of(env.peer_listen)
         self.traffic = TrafficAccount(env.zone)
+        self.memory = HeldBytes(budget_bytes(env.memory_mb))
         self.marks = MarkExchange(
             rng, self._publish_marks, lambda: self.gate.recheck_held()
         )
--- a/dogwooddock/platform/settings.py
+++ b/dogwooddock/platform/settings.py
@@ -12,6 +12,7 @@
 from ..jsontext import parse_json
 from ..listening import ListenAddress
 from ..mesh.environment import Bounds, NodeEnvironment
+from ..policy.heldbytes import MIN_MEMORY_MB
 from .values import FormatError, parse_address, parse_duration
 
 
@@ -89,6 +90,15 @@
     return Bounds(**kwargs)
 
 
+def _check_memory(memory_mb: float) -> float:
+    if memory_mb < MIN_MEMORY_MB:
+        raise FormatError(
+            f"limits.memory_mb is {memory_mb:g}, too little for the largest answer; "
+            f"allow at least {MIN_MEMORY_MB:g}"
+        )
+    return memory_mb
+
+
 def read_settings(path: str) -> NodeEnvironment:
     """Read and validate a settings file.
 
@@ -186,4 +196,5 @@
         ),
         store=parse_address(parsed.provider.address, "provider.address"),
         bounds=_parse_bounds(parsed.bounds),
+        memory_mb=_check_memory(parsed.limits.memory_mb),
     )
--- /dev/null
+++ b/dogwooddock/policy/heldbytes.py
@@ -0,0 +1,192 @@
+"""Which bodies a node reads and asks for while its memory for them is limited.
+
+Load answered: callers that stall uploads, or that do not read large answers, in such
+number that the process would pass its memory limit.
+"""
+
+__all__ = [
+    "MIN_MEMORY_MB",
+    "SMALL_BODY_BYTES",
+    "AnswerSizes",
+    "Claim",
+    "Held",
+    "HeldBytes",
+    "budget_bytes",
+]
+
+from collections import Counter, deque
+from collections.abc import Callable
+from enum import StrEnum
+
+MEGABYTE = 1_000_000
+# Memory of a node that holds no bodies, with its state for a large fleet.
+BASE_MB = 80.0
+# Memory taken for each byte that is held: copies on the way, and unused parts of the
+# allocator's arenas.
+COST_FACTOR = 2.0
+# Room for the largest answer of a target.
+MIN_BUDGET_MB = 17.0
+MIN_MEMORY_MB = BASE_MB + COST_FACTOR * MIN_BUDGET_MB
+# Bodies up to this size are neither counted nor made to wait.
+SMALL_BODY_BYTES = 16 * 1024
+# Share of the budget that requests, or answers, can use at most.
+MAX_SHARE = 0.75
+# Assumed for the answers of a route that has not been answered yet.
+UNKNOWN_ANSWER_BYTES = 1_000_000
+RISE_WEIGHT = 0.5
+FALL_WEIGHT = 0.1
+
+
+class Held(StrEnum):
+    """What memory is held for."""
+
+    REQUEST = "request-bodies"
+    EXPECTED = "expected-answers"
+    ANSWER = "unwritten-answers"
+
+
+def budget_bytes(memory_mb: float) -> int:
+    """Return the bytes of bodies that a process may hold, from its memory limit."""
+    return int((memory_mb - BASE_MB) / COST_FACTOR * MEGABYTE)
+
+
+class Claim:
+    """Memory that is held, or waited for, on behalf of one request or connection.
+
+    Args:
+        kind: What it is for.
+        size: Its size, in bytes.
+        on_grant: Called once it is granted after a wait.
+    """
+
+    __slots__ = ("granted", "kind", "on_grant", "size")
+
+    def __init__(self, kind: Held, size: int, on_grant: Callable[[], None]):
+        self.kind = kind
+        self.size = size
+        self.granted = False
+        self.on_grant = on_grant
+
+
+def _ignore() -> None:
+    """Take no notice of a grant."""
+
+
+class HeldBytes:
+    """Divide a budget of bytes among the bodies of requests and of answers.
+
+    Claims that do not fit wait in the order of their arrival. What waits for requests
+    does not delay answers, nor the other way round, and neither can use the whole
+    budget. A claim beyond its share is granted once its side holds nothing else.
+
+    ``waits`` and ``refusals`` count the claims that waited, and those that were given
+    up before they were granted, by what they are for.
+
+    Args:
+        limit_bytes: The budget, in bytes; None for no limit.
+    """
+
+    def __init__(self, limit_bytes: int | None = None):
+        self.limit_bytes = limit_bytes
+        self.waits: Counter[Held] = Counter()
+        self.refusals: Counter[Held] = Counter()
+        self._held = dict.fromkeys(Held, 0)
+        self._waiting: dict[bool, deque[Claim]] = {True: deque(), False: deque()}
+
+    @property
+    def total_bytes(self) -> int:
+        """Return the bytes that are held."""
+        return sum(self._held.values())
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of claims that wait."""
+        return sum(map(len, self._waiting.values()))
+
+    def held_bytes(self, kind: Held) -> int:
+        """Return the bytes that are held for a purpose."""
+        return self._held[kind]
+
+    def hold(self, kind: Held, size: int) -> Claim:
+        """Record bytes that are there already, within the budget or not."""
+        claim = Claim(kind, size, _ignore)
+        claim.granted = True
+        self._held[kind] += size
+        return claim
+
+    def ask(self, kind: Held, size: int, on_grant: Callable[[], None]) -> Claim:
+        """Claim bytes; if they are not granted at once, they wait."""
+        claim = Claim(kind, size, on_grant)
+        queue = self._waiting[kind is Held.REQUEST]
+        if not queue and self._fits(claim):
+            self._grant(claim)
+        else:
+            queue.append(claim)
+            self.waits[kind] += 1
+        return claim
+
+    def resize(self, claim: Claim, size: int) -> None:
+        """Record the size that a claim has reached, whether it was granted or not."""
+        if not claim.granted:
+            self._waiting[claim.kind is Held.REQUEST].remove(claim)
+            claim.size = 0
+            claim.granted = True
+        self._held[claim.kind] += size - claim.size
+        shrinks = size < claim.size
+        claim.size = size
+        if shrinks:
+            self._grant_next()
+
+    def release(self, claim: Claim) -> None:
+        """Free what a claim holds, or give up its wait."""
+        if claim.granted:
+            self.resize(claim, 0)
+            return
+        claim.granted = True
+        claim.size = 0
+        self._waiting[claim.kind is Held.REQUEST].remove(claim)
+        self.refusals[claim.kind] += 1
+        self._grant_next()
+
+    def _fits(self, claim: Claim) -> bool:
+        if self.limit_bytes is None:
+            return True
+        total = self.total_bytes
+        own = self._held[Held.REQUEST]
+        if claim.kind is not Held.REQUEST:
+            own = total - own
+        if own == 0:
+            return True
+        fits_share = own + claim.size <= self.limit_bytes * MAX_SHARE
+        return fits_share and total + claim.size <= self.limit_bytes
+
+    def _grant(self, claim: Claim) -> None:
+        claim.granted = True
+        self._held[claim.kind] += claim.size
+
+    def _grant_next(self) -> None:
+        for queue in self._waiting.values():
+            while queue and self._fits(queue[0]):
+                claim = queue.popleft()
+                self._grant(claim)
+                claim.on_grant()
+
+
+class AnswerSizes:
+    """Estimate the size of a route's next answer from its recent ones."""
+
+    def __init__(self) -> None:
+        self._sizes: dict[str, float] = {}
+
+    def expected(self, route: str) -> int:
+        """Return the expected size of an answer, in bytes."""
+        return int(self._sizes.get(route, UNKNOWN_ANSWER_BYTES))
+
+    def record(self, route: str, size: int) -> None:
+        """Record the size of an answer, in bytes."""
+        mean = self._sizes.get(route)
+        if mean is None:
+            self._sizes[route] = size
+            return
+        weight = RISE_WEIGHT if size > mean else FALL_WEIGHT
+        self._sizes[route] = mean + (size - mean) * weight
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -10,7 +10,8 @@
 from bench.mesh_standin import TargetMode
 from dogwooddock.http1.client import ConnectionPool, RequestFailure
 from dogwooddock.http1.messages import Response, render_request
-from dogwooddock.http1.server import HttpServer
+from dogwooddock.http1.server import HttpServer, ServerLimits
+from dogwooddock.policy.heldbytes import HeldBytes
 
 from .mesh_helpers import running_fleet, wait_until
 
@@ -83,6 +84,15 @@
     assert asyncio.run(scenario()) < 4 * BODY_BYTES
 
 
+async def stall(address):
+    """Send all but the last byte of a request; return the status of the answer."""
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(upload(0)[:-1])
+    status = int((await reader.readline()).split()[1])
+    writer.close()
+    return status
+
+
 async def stall_all(address):
     """Send all but the last byte of a request on each of many connections."""
     writers = []
@@ -94,6 +104,59 @@
     return writers
 
 
+async def get_small(address):
+    conn = await ConnectionPool(address).open()
+    result = await conn.exchange(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+    conn.close()
+    return result.status
+
+
+def test_stalled_uploads_hold_no_more_than_the_budget():
+    async def scenario():
+        limits = ServerLimits(max_body_bytes=BODY_BYTES, header_timeout_s=1.0)
+        server = HttpServer(
+            lambda exchange: exchange.respond(200, b"", b""),
+            limits,
+            HeldBytes(4 * BODY_BYTES),
+        )
+        address = await server.start(("127.0.0.1", 0))
+        with traced_memory() as traced:
+            stalled = [asyncio.create_task(stall(address)) for _ in range(REQUESTS)]
+            await wait_until(lambda: server.memory.waiting == REQUESTS - 3)
+            held = traced()
+            small = await get_small(address)
+            # The rest waits for longer than the timeout of an incomplete request.
+            statuses = await asyncio.gather(*stalled)
+        server.stop()
+        return held, small, statuses, server.memory.total_bytes
+
+    held, small, statuses, left = asyncio.run(scenario())
+    assert held < 8 * BODY_BYTES
+    assert small == 200
+    assert statuses == [408] * REQUESTS
+    assert left == 0
+
+
+def test_whole_uploads_are_served_beside_stalled_ones():
+    async def scenario():
+        limits = ServerLimits(max_body_bytes=BODY_BYTES, header_timeout_s=0.5)
+        server = HttpServer(
+            lambda exchange: exchange.respond(200, b"", b""),
+            limits,
+            HeldBytes(4 * BODY_BYTES),
+        )
+        address = await server.start(("127.0.0.1", 0))
+        stalled = [asyncio.create_task(stall(address)) for _ in range(6)]
+        await wait_until(lambda: server.memory.waiting == 3)
+        conns = await exchange_all(address)
+        for conn in conns:
+            conn.close()
+        await asyncio.gather(*stalled)
+        server.stop()
+
+    asyncio.run(scenario())
+
+
 def test_closed_connections_hold_no_part_of_an_incomplete_body():
     async def scenario():
         server = HttpServer(lambda exchange: exchange.respond(200, b"", b""))
