Begin no request whose large answer finds no memory

What callers saw: callers that asked for large answers and did not read them filled their node's memory, which has a limit beyond which the process is killed.

Cause: requests were begun, and their answers fetched, however much lay unwritten.

Change: unwritten answers and the expected ones of requests in progress count in the budget of policy/heldbytes.py. What was begun is not cut for this. Metrics, state dump and log tell what is held.

--- a/dogwooddock/mesh/metrics.py
+++ b/dogwooddock/mesh/metrics.py
@@ -8,6 +8,7 @@
 from aioprometheus import Counter, Gauge, Registry
 from aioprometheus.renderer import render
 
+from ..policy.heldbytes import Held
 from .inspected import InspectedNode
 from .members import era_of, version_of
 
@@ -66,6 +67,7 @@
         },
         "store_settled": node.announcer.synced,
         "quotas": node.quotas.snapshot(),
+        "memory": node.memory.snapshot(),
         "traffic": {
             "links": [asdict(row) for row in node.traffic.rows()],
             "connections": _connections_opened(node),
@@ -101,6 +103,22 @@
         connections.set({"purpose": purpose}, count)
 
 
+def _add_memory(node: InspectedNode, registry: Registry) -> None:
+    memory = node.memory
+    held = Gauge(
+        "dogwooddock_held_bytes", "Bytes of bodies that are held.", registry=registry
+    )
+    claims = Counter(
+        "dogwooddock_memory_claims_total",
+        "Bodies that waited for memory, and those given up before they got it.",
+        registry=registry,
+    )
+    for kind in Held:
+        held.set({"kind": str(kind)}, memory.held_bytes(kind))
+        claims.set({"kind": str(kind), "verdict": "waited"}, memory.waits[kind])
+        claims.set({"kind": str(kind), "verdict": "given-up"}, memory.refusals[kind])
+
+
 def render_metrics(node: InspectedNode) -> bytes:
     """Return the metrics in the Prometheus text format."""
     registry = Registry()
@@ -136,6 +154,7 @@
         for outcome, count in outcomes.items():
             accounts.set({"account": account, "outcome": outcome}, count)
     _add_traffic(node, registry)
+    _add_memory(node, registry)
     load = node.gate.load()
     values = {
         "resends": node.ingress.counts.resends,
@@ -152,6 +171,7 @@
         "store_era": era_of(node.fleet.members.position),
         "record_rewrites": node.announcer.rewrites,
         "quota_messages": node.quotas.messages,
+        "held_bytes_limit": node.memory.limit_bytes or 0,
     }
     if node.config_proofs is not None:
         values["config_age_seconds"] = node.config_proofs.waited_s()
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -50,6 +50,7 @@
 from .marks import MarkExchange
 from .memberrows import MemberRows
 from .members import era_of, position_of
+from .memorywatch import MemoryWatch
 from .quotas import Quotas
 from .routing import DesiredState
 from .rows import Row, RowStore
@@ -114,6 +115,7 @@
         self.node_id = node_id_of(env.peer_listen)
         self.traffic = TrafficAccount(env.zone)
         self.memory = HeldBytes(budget_bytes(env.memory_mb))
+        self._memory_watch = MemoryWatch(self.memory)
         self.marks = MarkExchange(
             rng, self._publish_marks, lambda: self.gate.recheck_held()
         )
@@ -144,6 +146,7 @@
             self.quotas,
             rng,
             self.config_proofs,
+            self.memory,
         )
         self._member_rows = MemberRows(
             platform.store, self.fleet.members, self._merge_records, self.marks
@@ -283,6 +286,7 @@
         while True:
             await asyncio.sleep(MAINTENANCE_PERIOD_S)
             self.gate.connections.close_stale()
+            self._memory_watch.check()
             self.marks.quarantine.expire(self._loop.time())
             self.retries.resize(len(self.fleet.members), self._loop.time())
             self.fleet.dial_zone()
--- a/dogwooddock/mesh/pending.py
+++ b/dogwooddock/mesh/pending.py
@@ -14,6 +14,7 @@
 
 from ..http1.server import Exchange
 from ..policy.accounts import ClientAccount
+from ..policy.heldbytes import Claim
 from ..policy.levels import request_rank
 from ..policy.outcomes import Outcome, Reason
 from .calls import MeshCall, MeshReply
@@ -55,6 +56,7 @@
         account: Account whose key it carries, or None.
         permit: Its token of the quota, or None.
         withdraw: Withdraws it while it waits for a token, else None.
+        answer_claim: Memory claimed for its answer, or None.
     """
 
     exchange: Exchange
@@ -81,6 +83,7 @@
     account: ClientAccount | None = None
     permit: QuotaPermit | None = None
     withdraw: Callable[[], None] | None = None
+    answer_claim: Claim | None = None
 
     @property
     def objective_at(self) -> float:
--- a/dogwooddock/policy/heldbytes.py
+++ b/dogwooddock/policy/heldbytes.py
@@ -32,7 +32,7 @@
 # Share of the budget that requests, or answers, can use at most.
 MAX_SHARE = 0.75
 # Assumed for the answers of a route that has not been answered yet.
-UNKNOWN_ANSWER_BYTES = 1_000_000
+UNKNOWN_ANSWER_BYTES = 160_000
 RISE_WEIGHT = 0.5
 FALL_WEIGHT = 0.1
 
@@ -103,6 +103,11 @@
         """Return the number of claims that wait."""
         return sum(map(len, self._waiting.values()))
 
+    def snapshot(self) -> dict[str, int | None]:
+        """Return the budget, what is held by kind, and how many claims wait."""
+        held = {str(kind): size for kind, size in self._held.items()}
+        return {"limit": self.limit_bytes, "waiting": self.waiting, **held}
+
     def held_bytes(self, kind: Held) -> int:
         """Return the bytes that are held for a purpose."""
         return self._held[kind]
@@ -131,6 +136,7 @@
             self._waiting[claim.kind is Held.REQUEST].remove(claim)
             claim.size = 0
             claim.granted = True
+            claim.on_grant = _ignore
         self._held[claim.kind] += size - claim.size
         shrinks = size < claim.size
         claim.size = size
@@ -144,6 +150,7 @@
             return
         claim.granted = True
         claim.size = 0
+        claim.on_grant = _ignore
         self._waiting[claim.kind is Held.REQUEST].remove(claim)
         self.refusals[claim.kind] += 1
         self._grant_next()
@@ -160,16 +167,17 @@
         fits_share = own + claim.size <= self.limit_bytes * MAX_SHARE
         return fits_share and total + claim.size <= self.limit_bytes
 
-    def _grant(self, claim: Claim) -> None:
+    def _grant(self, claim: Claim) -> Callable[[], None]:
+        """Grant a claim; return its callback, which may refer to it in turn."""
         claim.granted = True
         self._held[claim.kind] += claim.size
+        on_grant, claim.on_grant = claim.on_grant, _ignore
+        return on_grant
 
     def _grant_next(self) -> None:
         for queue in self._waiting.values():
             while queue and self._fits(queue[0]):
-                claim = queue.popleft()
-                self._grant(claim)
-                claim.on_grant()
+                self._grant(queue.popleft())()
 
 
 class AnswerSizes:
@@ -178,6 +186,10 @@
     def __init__(self) -> None:
         self._sizes: dict[str, float] = {}
 
+    def is_known(self, route: str) -> bool:
+        """Report whether a route has been answered yet."""
+        return route in self._sizes
+
     def expected(self, route: str) -> int:
         """Return the expected size of an answer, in bytes."""
         return int(self._sizes.get(route, UNKNOWN_ANSWER_BYTES))
--- a/dogwooddock/policy/outcomes.py
+++ b/dogwooddock/policy/outcomes.py
@@ -49,3 +49,4 @@
     UNKNOWN_PARENT = "unknown-parent"
     QUOTA = "quota"
     STALE_CONFIG = "stale-config"
+    MEMORY = "memory"
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -11,9 +11,10 @@
 from dogwooddock.http1.client import ConnectionPool, RequestFailure
 from dogwooddock.http1.messages import Response, render_request
 from dogwooddock.http1.server import HttpServer, ServerLimits
-from dogwooddock.policy.heldbytes import HeldBytes
+from dogwooddock.mesh.metrics import dump_state
+from dogwooddock.policy.heldbytes import Held, HeldBytes
 
-from .mesh_helpers import running_fleet, wait_until
+from .mesh_helpers import running_fleet, status_of, wait_until
 
 BODY_BYTES = 900_000
 REQUESTS = 12
@@ -104,6 +105,60 @@
     return writers
 
 
+def test_unread_answers_count_until_the_caller_is_gone():
+    size = 14_000_000  # More than the system takes.
+
+    async def scenario():
+        memory = HeldBytes(100)
+        answer = lambda exchange: exchange.respond(200, b"", b"x" * size)  # noqa: E731
+        server = HttpServer(answer, memory=memory)
+        address = await server.start(("127.0.0.1", 0))
+        _, writer = await asyncio.open_connection(*address)
+        writer.write(upload(0, 1))
+        await wait_until(lambda: memory.held_bytes(Held.ANSWER) > BODY_BYTES)
+        writer.transport.abort()
+        await wait_until(lambda: memory.total_bytes == 0)
+        server.stop()
+
+    asyncio.run(scenario())
+
+
+def test_large_answers_are_not_asked_for_while_unread_ones_fill_the_memory():
+    async def scenario():
+        async with running_fleet("stock") as fleet:
+            vm = fleet.vms[0]
+            vm.target.mode = TargetMode(body_bytes=BODY_BYTES)
+            memory = vm.node.memory
+            assert status_of(await vm.send_request("/stock/1", "first")) == 200
+            unread = memory.hold(Held.ANSWER, memory.limit_bytes)
+            assert status_of(await vm.send_request("/stock/1", "refused")) == 503
+            waiting = asyncio.create_task(vm.send_request("/stock/1", "waits"))
+            await wait_until(lambda: memory.waiting == 1)
+            memory.release(unread)
+            assert status_of(await waiting) == 200
+            vm.target.mode = TargetMode()
+            assert status_of(await vm.send_request("/stock/1", "other")) == 200
+            assert memory.total_bytes == 0
+            return [run.request_id for run in vm.target.runs], dump_state(vm.node)
+
+    runs, state = asyncio.run(scenario())
+    assert runs == ["first", "waits", "other"]
+    assert state["memory"]["waiting"] == 0
+
+
+def test_requests_of_a_route_not_answered_yet_do_not_wait_for_long():
+    async def scenario():
+        async with running_fleet("stock") as fleet:
+            vm = fleet.vms[0]
+            vm.target.mode = TargetMode(work_s=0.3)
+            unread = vm.node.memory.hold(Held.ANSWER, vm.node.memory.limit_bytes)
+            status = status_of(await vm.send_request("/stock/1", "unknown"))
+            vm.node.memory.release(unread)
+            return status, vm.node.memory.total_bytes
+
+    assert asyncio.run(scenario()) == (200, 0)
+
+
 async def get_small(address):
     conn = await ConnectionPool(address).open()
     result = await conn.exchange(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
