--- a/dogwooddock/mesh/ingress.py
+++ b/dogwooddock/mesh/ingress.py
@@ -285,6 +285,8 @@
                 pending.call.request_id.decode("latin-1"),
                 self._quotas.demand_per_s(account),
             )
+        if pending.done:
+            return
         size = self._answer_sizes.expected(pending.route.name)
         if size <= SMALL_BODY_BYTES or pending.parent is not None:
             self._start_attempt(pending)
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -6,12 +6,14 @@
 from contextlib import contextmanager
 
 import pytest
+from structlog.testing import capture_logs
 
 from bench.mesh_standin import TargetMode
 from dogwooddock.http1.client import ConnectionPool, RequestFailure
 from dogwooddock.http1.messages import Response, render_request
 from dogwooddock.http1.server import HttpServer, ServerLimits
-from dogwooddock.mesh.metrics import dump_state
+from dogwooddock.mesh.memorywatch import MemoryWatch
+from dogwooddock.mesh.metrics import dump_state, render_metrics
 from dogwooddock.policy.heldbytes import Held, HeldBytes
 
 from .mesh_helpers import running_fleet, status_of, wait_until
@@ -159,6 +161,26 @@
     assert asyncio.run(scenario()) == (200, 0)
 
 
+def test_lack_of_memory_is_logged_once_and_counted():
+    async def scenario():
+        async with running_fleet("stock") as fleet:
+            return fleet.vms[0].node.memory, render_metrics(fleet.vms[0].node)
+
+    memory, metrics = asyncio.run(scenario())
+    assert b'dogwooddock_held_bytes{kind="unwritten-answers"} 0' in metrics
+    watch = MemoryWatch(memory)
+    with capture_logs() as lines:
+        memory.hold(Held.REQUEST, memory.limit_bytes)
+        claim = memory.ask(Held.REQUEST, 1, lambda: None)
+        watch.check()
+        watch.check()
+        memory.release(claim)
+        watch.check()
+        watch.check()
+    assert [line["event"] for line in lines] == ["memory_short", "memory_enough"]
+    assert lines[1]["waited"] == lines[1]["given_up"] == 1
+
+
 async def get_small(address):
     conn = await ConnectionPool(address).open()
     result = await conn.exchange(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
