Refuse calls of other nodes whose bodies find no memory

What operators saw: calls with large bodies that wait at the gate of a target's node came without a bound from all nodes together.

Cause: a link is not paused, since its probes would wait as well, and nothing counted the bodies of its calls.

Change: they count in the budget until the call is answered.

Evidence: test_large_calls_beyond_the_memory_of_the_targets_node_are_not_run, whose call ran before.

--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -182,7 +182,7 @@
             platform.read_heartbeat,
             self,
         )
-        self.links = LinkServer(self.gate, self)
+        self.links = LinkServer(self.gate, self, self.memory)
         platform.store.on_new_era = self._follow_era
 
     def _create_config_proofs(self) -> ConfigProofs | None:
--- a/dogwooddock/policy/heldbytes.py
+++ b/dogwooddock/policy/heldbytes.py
@@ -41,10 +41,20 @@
     """What memory is held for."""
 
     REQUEST = "request-bodies"
+    CALL = "call-bodies"
     EXPECTED = "expected-answers"
     ANSWER = "unwritten-answers"
 
 
+# What competes for one share of the budget, and waits in one queue.
+_RIVALS = {
+    Held.REQUEST: (Held.REQUEST,),
+    Held.CALL: (Held.CALL,),
+    Held.EXPECTED: (Held.EXPECTED, Held.ANSWER),
+    Held.ANSWER: (Held.EXPECTED, Held.ANSWER),
+}
+
+
 def budget_bytes(memory_mb: float) -> int:
     """Return the bytes of bodies that a process may hold, from its memory limit."""
     return int((memory_mb - BASE_MB) / COST_FACTOR * MEGABYTE)
@@ -73,14 +83,14 @@
 
 
 class HeldBytes:
-    """Divide a budget of bytes among the bodies of requests and of answers.
+    """Divide a budget of bytes among the bodies of requests, calls and answers.
 
     Claims that do not fit wait in the order of their arrival. What waits for requests
-    does not delay answers, nor the other way round, and neither can use the whole
+    does not delay answers, nor the other way round, and none can use the whole
     budget. A claim beyond its share is granted once its side holds nothing else.
 
     ``waits`` and ``refusals`` count the claims that waited, and those that were given
-    up before they were granted, by what they are for.
+    up before they were granted or that found no room, by what they are for.
 
     Args:
         limit_bytes: The budget, in bytes; None for no limit.
@@ -91,7 +101,9 @@
         self.waits: Counter[Held] = Counter()
         self.refusals: Counter[Held] = Counter()
         self._held = dict.fromkeys(Held, 0)
-        self._waiting: dict[bool, deque[Claim]] = {True: deque(), False: deque()}
+        self._queues: dict[tuple[Held, ...], deque[Claim]] = {
+            rivals: deque() for rivals in _RIVALS.values()
+        }
 
     @property
     def total_bytes(self) -> int:
@@ -101,7 +113,7 @@
     @property
     def waiting(self) -> int:
         """Return the number of claims that wait."""
-        return sum(map(len, self._waiting.values()))
+        return sum(map(len, self._queues.values()))
 
     def snapshot(self) -> dict[str, int | None]:
         """Return the budget, what is held by kind, and how many claims wait."""
@@ -122,8 +134,8 @@
     def ask(self, kind: Held, size: int, on_grant: Callable[[], None]) -> Claim:
         """Claim bytes; if they are not granted at once, they wait."""
         claim = Claim(kind, size, on_grant)
-        queue = self._waiting[kind is Held.REQUEST]
-        if not queue and self._fits(claim):
+        queue = self._queues[_RIVALS[kind]]
+        if not queue and self.has_room(kind, size):
             self._grant(claim)
         else:
             queue.append(claim)
@@ -133,7 +145,7 @@
     def resize(self, claim: Claim, size: int) -> None:
         """Record the size that a claim has reached, whether it was granted or not."""
         if not claim.granted:
-            self._waiting[claim.kind is Held.REQUEST].remove(claim)
+            self._queues[_RIVALS[claim.kind]].remove(claim)
             claim.size = 0
             claim.granted = True
             claim.on_grant = _ignore
@@ -151,21 +163,19 @@
         claim.granted = True
         claim.size = 0
         claim.on_grant = _ignore
-        self._waiting[claim.kind is Held.REQUEST].remove(claim)
+        self._queues[_RIVALS[claim.kind]].remove(claim)
         self.refusals[claim.kind] += 1
         self._grant_next()
 
-    def _fits(self, claim: Claim) -> bool:
+    def has_room(self, kind: Held, size: int) -> bool:
+        """Report whether a claim would be granted if no other waited."""
         if self.limit_bytes is None:
             return True
-        total = self.total_bytes
-        own = self._held[Held.REQUEST]
-        if claim.kind is not Held.REQUEST:
-            own = total - own
+        own = sum(self._held[rival] for rival in _RIVALS[kind])
         if own == 0:
             return True
-        fits_share = own + claim.size <= self.limit_bytes * MAX_SHARE
-        return fits_share and total + claim.size <= self.limit_bytes
+        fits_share = own + size <= self.limit_bytes * MAX_SHARE
+        return fits_share and self.total_bytes + size <= self.limit_bytes
 
     def _grant(self, claim: Claim) -> Callable[[], None]:
         """Grant a claim; return its callback, which may refer to it in turn."""
@@ -175,8 +185,8 @@
         return on_grant
 
     def _grant_next(self) -> None:
-        for queue in self._waiting.values():
-            while queue and self._fits(queue[0]):
+        for queue in self._queues.values():
+            while queue and self.has_room(queue[0].kind, queue[0].size):
                 self._grant(queue.popleft())()
 
 
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -161,6 +161,29 @@
     assert asyncio.run(scenario()) == (200, 0)
 
 
+def test_large_calls_beyond_the_memory_of_the_targets_node_are_not_run():
+    async def scenario():
+        async with running_fleet("stock", "shop") as fleet:
+            ingress, memory = fleet.vms[1], fleet.vms[0].node.memory
+
+            async def send(request_id, size):
+                options = {"method": "POST", "body": b"x" * size}
+                return status_of(
+                    await ingress.send_request("/stock/1", request_id, **options)
+                )
+
+            others = memory.hold(Held.CALL, memory.limit_bytes)
+            assert await send("large", BODY_BYTES) == 503
+            assert await send("small", 10) == 200
+            memory.release(others)
+            assert await send("fits", BODY_BYTES) == 200
+            assert memory.total_bytes == 0
+            assert memory.refusals[Held.CALL] >= 1
+            return [run.request_id for run in fleet.runs]
+
+    assert asyncio.run(scenario()) == ["small", "fits"]
+
+
 def test_lack_of_memory_is_logged_once_and_counted():
     async def scenario():
         async with running_fleet("stock") as fleet:
