--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -17,6 +17,7 @@
 from dogwooddock.policy.heldbytes import Held, HeldBytes
 
 from .mesh_helpers import running_fleet, status_of, wait_until
+from .virtual_time import run
 
 BODY_BYTES = 900_000
 REQUESTS = 12
@@ -257,6 +258,20 @@
     asyncio.run(scenario())
 
 
+def test_upload_that_never_finds_room_is_refused_and_not_run():
+    async def scenario():
+        handled = []
+        server = HttpServer(handled.append, memory=HeldBytes(100))
+        address = await server.start(("127.0.0.1", 0))
+        others = server.memory.hold(Held.REQUEST, 100)
+        assert await stall(address) == 503
+        server.memory.release(others)
+        server.stop()
+        return handled, server.memory.total_bytes
+
+    assert run(scenario()) == ([], 0)
+
+
 def test_closed_connections_hold_no_part_of_an_incomplete_body():
     async def scenario():
         server = HttpServer(lambda exchange: exchange.respond(200, b"", b""))
