Refuse settings whose ip is no IPv4 address or whose ports are none by their names

What operators saw: a node whose settings name a host or an IPv6 address as ip, or a port of port_range outside 0 to 65535, ended with code 1 and a traceback; also while it waited for an address under settings that were correct before.

Cause: ip was any text and port_range any whole numbers. A socket is bound to some of these, but the id of a node is made of an IPv4 address; others fail with errors that are not errors of the system.

--- a/dogwooddock/platform/settings.py
+++ b/dogwooddock/platform/settings.py
@@ -4,7 +4,8 @@
 
 import os
 from dataclasses import replace
-from typing import Any
+from ipaddress import IPv4Address
+from typing import Annotated, Any
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 
@@ -15,6 +16,8 @@
 from ..policy.heldbytes import MIN_MEMORY_MB
 from .values import FormatError, parse_address, parse_duration
 
+_Port = Annotated[int, Field(ge=0, le=65535)]
+
 
 class _Listen(BaseModel):
     """Listen addresses; ``outbound`` is for requests of local callers."""
@@ -36,10 +39,10 @@
     model_config = ConfigDict(extra="ignore")
 
     node: str = Field(min_length=1)
-    ip: str
+    ip: IPv4Address
     zone: str = Field(min_length=1)
     listen: _Listen
-    port_range: tuple[int, int]
+    port_range: tuple[_Port, _Port]
     seeds: list[str] = []
     limits: _Limits = _Limits()
     heartbeat: str = "1500ms"
@@ -182,14 +185,14 @@
 def _build_environment(parsed: _SettingsSchema) -> NodeEnvironment:
     return NodeEnvironment(
         name=parsed.node,
-        ip=parsed.ip,
+        ip=str(parsed.ip),
         zone=parsed.zone,
         pool=parsed.service,
         target=parse_address(parsed.app_addr, "app_addr"),
         caller_listen=parse_address(parsed.listen.outbound, "listen.outbound"),
         ready_listen=parse_address(parsed.listen.ready, "listen.ready"),
         heartbeat_listen=parse_address(parsed.listen.control, "listen.control"),
-        peer_listen=(parsed.ip, parsed.port_range[0]),
+        peer_listen=(str(parsed.ip), parsed.port_range[0]),
         contacts=tuple(
             (parse_address(seed, "seeds")[0], parsed.port_range[0])
             for seed in parsed.seeds
--- a/tests/test_held_addresses.py
+++ b/tests/test_held_addresses.py
@@ -191,7 +191,15 @@
 
 @pytest.mark.parametrize(
     ("setting", "value"),
-    [("listen", {"outbound": "no-address:1"}), ("ip", "no-address")],
+    [
+        ("listen", {"outbound": "no-address:1"}),
+        ("ip", "no-address"),
+        ("ip", "localhost"),
+        ("ip", "::1"),
+        ("ip", ""),
+        ("port_range", [65536, 65540]),
+        ("port_range", [-1, 4]),
+    ],
 )
 def test_address_that_is_none_is_refused_by_the_name_of_its_setting(
     tmp_path, setting, value
