Reproduce callers that are gone behind 64 pipelined requests and go unnoticed

What targets see: the work for a caller that pipelined 64 requests or more goes on after it has left, until an answer is written to it.

Evidence: test_caller_that_is_gone_is_noticed_however_much_it_pipelined fails in the 2 cases with 64 requests and passes in the 2 with 63.

--- a/tests/test_half_close.py
+++ b/tests/test_half_close.py
@@ -277,3 +277,22 @@
         assert 0 < step.pause_s <= 0.1
         now += step.pause_s
     assert written == writes
+
+
+@pytest.mark.parametrize("leave", [StreamWriter.close, _reset])
+@pytest.mark.parametrize("pipelined", [63, 64])
+def test_caller_that_is_gone_is_noticed_however_much_it_pipelined(pipelined, leave):
+    async def scenario():
+        async with running_fleet("shop") as fleet:
+            (vm,) = fleet.vms
+            vm.target.mode = TargetMode(work_s=3.0)
+            _, writer = await asyncio.open_connection(*vm.env.caller_listen)
+            names = [f"g{number}" for number in range(pipelined)]
+            writer.write(b"".join(request("/read/1", name) for name in names))
+            await asyncio.sleep(0.2)
+            assert vm.node.ingress.in_flight
+            leave(writer)
+            await asyncio.sleep(NOTICE_S)
+            assert vm.node.ingress.in_flight == 0
+
+    run(scenario())
