Refuse an operator port that is none by the name of its option

Cause: binding a socket to such a port fails with an error that is none of the system.

Change: the option names its bounds.

Evidence: test_operator_port_that_is_none_is_refused_by_its_name: 2 of 2 cases failed before, both pass.

--- a/dogwooddock/platform/command.py
+++ b/dogwooddock/platform/command.py
@@ -54,6 +54,8 @@
         int,
         typer.Option(
             envvar="DOGWOODDOCK_OPERATOR_PORT",
+            min=0,
+            max=65535,
             help="Port for metrics and the state dump; 0 for none.",
         ),
     ] = 0,
--- a/tests/test_held_addresses.py
+++ b/tests/test_held_addresses.py
@@ -215,6 +215,16 @@
     assert "Traceback" not in text
 
 
+@pytest.mark.parametrize("port", ["65536", "-1"])
+def test_operator_port_that_is_none_is_refused_by_its_name(tmp_path, monkeypatch, port):
+    monkeypatch.setenv("DOGWOODDOCK_OPERATOR_PORT", port)
+    with NodeProcess(tmp_path, free_ports(PORTS_PER_NODE)) as node:
+        assert node.process.wait(LIMIT_S) == 2
+        text = node.process.stdout.read()
+    assert "--operator-port" in text
+    assert "Traceback" not in text
+
+
 @pytest.mark.parametrize("written", ["", '{"node": "node-0", "lis'])
 def test_node_starts_once_its_settings_file_is_written_to_the_end(tmp_path, written):
     base = free_ports(PORTS_PER_NODE)
