--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -3,6 +3,7 @@
 import signal
 import subprocess
 import sys
+import time
 
 import pytest
 
@@ -43,6 +44,7 @@
 EXIT_INVALID_SETTINGS = 2
 NODE = [sys.executable, "-m", "dogwooddock", "node", "--name", "n", "--zone", "z"]
 STOP_LIMIT_S = 10.0
+SIGNAL_PERIOD_S = 0.001
 
 
 @pytest.mark.parametrize(("module", "argv", "text"), [PLATFORM, OWN_INTERFACE])
@@ -123,3 +125,29 @@
         process.kill()
         process.wait()
         process.stdout.close()
+
+
+def _await_line(log, text, process):
+    while text not in log.read_text() and process.poll() is None:
+        time.sleep(SIGNAL_PERIOD_S)
+
+
+@pytest.mark.parametrize("signum", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])
+def test_signals_until_a_stopped_node_has_ended_do_not_make_it_a_failure(
+    signum, tmp_path
+):
+    log = tmp_path / "log"
+    with log.open("w") as stream:
+        process = subprocess.Popen(NODE, stderr=stream)
+    try:
+        _await_line(log, "node_started", process)
+        process.send_signal(signal.SIGTERM)
+        _await_line(log, "node_stopped", process)
+        deadline = time.monotonic() + STOP_LIMIT_S
+        while process.poll() is None and time.monotonic() < deadline:
+            process.send_signal(signum)
+            time.sleep(SIGNAL_PERIOD_S)
+        assert (process.poll(), "Traceback" in log.read_text()) == (0, False)
+    finally:
+        process.kill()
+        process.wait()
