Parse absolute request targets of both interfaces in one place

Cause: the own interface had a pattern of its own for what http1/targets.py parses. Change: it asks that module. The 14 cases of tests/test_request_targets.py pass as before; none failed before.

--- a/dogwooddock/callers/requesttarget.py
+++ b/dogwooddock/callers/requesttarget.py
@@ -2,12 +2,10 @@
 
 __all__ = ["RequestTarget", "parse_request_target"]
 
-import re
 from dataclasses import dataclass
 
 from ..errors import InvalidRequest
-
-ABSOLUTE_FORM = re.compile(r"https?://([^/?@]+)(/[^?]*)?(\?.*)?", re.IGNORECASE)
+from ..http1.targets import parse_absolute
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,8 +29,8 @@
     """
     if text.startswith("/") or text == "*":
         return RequestTarget(text)
-    match = ABSOLUTE_FORM.fullmatch(text)
-    if match is None:
+    absolute = parse_absolute(b"GET", text.encode("latin-1", "replace"))
+    if absolute is None or not absolute.is_valid:
         raise InvalidRequest("send a path, or an http URL with a host and no user")
-    host, path, query = match.groups("")
-    return RequestTarget((path or "/") + query, host)
+    path, host = absolute.origin_form, absolute.host
+    return RequestTarget(path.decode("latin-1"), host.decode("latin-1"))
