Fit the mutant of incomplete heartbeats to the type of their start

tests/test_soak.py::test_mutants_fit_the_sources[incomplete-heartbeat-accepted] failed since the starts of targets have a bound of their own; it passes now. The mutant is the same: a heartbeat without a start counts as the latest.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -159,7 +159,7 @@
         (
             (
                 "platform/heartbeats.py",
-                "    born: _WholeNumber\n",
+                "    born: _UnixMs\n",
                 "    born: _WholeNumber = MAX_WHOLE_NUMBER\n",
             ),
         ),
