Correct exit codes, slow readers and a mutant of the soak

Change: signals are sent by process id; slow readers read 400 KB over small segments; the mutant drops both conditions.

--- a/bench/mesh_standin.py
+++ b/bench/mesh_standin.py
@@ -24,9 +24,9 @@
 
 Address = tuple[str, int]
 
-# Requests whose id ends so get an answer of some 200 KB.
+# Requests whose id ends so get an answer of some 400 KB.
 LARGE_ANSWER = "-large"
-LARGE_ANSWER_DIGESTS = 3200
+LARGE_ANSWER_DIGESTS = 6400
 
 
 def _render_row(row: Row) -> dict[str, Any]:
--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -179,8 +179,8 @@
         (
             (
                 "policy/shutdown.py",
-                "finished = not work.requests and not work.unwritten_bytes",
-                "finished = not work.requests",
+                "return self.closes_listener(now, work) and finished",
+                "return self.closes_listener(now, work) and not work.requests",
             ),
         ),
     ),
--- a/bench/soakclients.py
+++ b/bench/soakclients.py
@@ -17,6 +17,7 @@
 
 READ_PERIOD_S = 0.1
 RECEIVE_BUFFER_BYTES = 16 * 1024
+SEGMENT_BYTES = 1448
 
 
 class HalfCloser(ClientConnection):
@@ -32,12 +33,6 @@
 class SlowReader(ClientConnection):
     """A connection that takes its answers little by little."""
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Let the kernel take little for it."""
-        super().connection_made(transport)
-        sock = transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-
     def data_received(self, data: bytes) -> None:
         """Wait before the next read."""
         super().data_received(data)
@@ -55,8 +50,19 @@
         OSError: The server cannot be reached in time.
     """
     loop = asyncio.get_running_loop()
-    async with asyncio.timeout(CONNECT_TIMEOUT_S):
-        _, conn = await loop.create_connection(kind, *address)
+    sock = socket.socket()
+    sock.setblocking(False)
+    if kind is SlowReader:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        # Segments of an Ethernet, so that the kernel holds little of the answer.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            await loop.sock_connect(sock, address)
+    except OSError:
+        sock.close()
+        raise
+    _, conn = await loop.create_connection(kind, sock=sock)
     return conn
 
 
--- a/bench/soakfaults.py
+++ b/bench/soakfaults.py
@@ -3,6 +3,7 @@
 __all__ = ["SoakFaults"]
 
 import asyncio
+import os
 import signal
 from asyncio.subprocess import Process
 from collections.abc import Awaitable, Callable
@@ -72,8 +73,7 @@
             return False
         if signal_number in (signal.SIGTERM, signal.SIGKILL):
             vm.expect_exit(signal_number)
-        vm.process.send_signal(signal_number)
-        return True
+        return _signal_process(vm.process, signal_number)
 
     async def _await_exit_and_restart(self, vm: SimulatedVM) -> None:
         """Wait for the end of the node's process; start the next if nobody has."""
@@ -112,8 +112,7 @@
         if process is not None and self._send_signal(vm, signal.SIGSTOP):
             self.history.record_node_fault(vm.index, self.now())
             await self._random_pause()
-            if process.returncode is None:
-                process.send_signal(signal.SIGCONT)
+            _signal_process(process, signal.SIGCONT)
             self.history.record_node_fault(vm.index, self.now())
 
     async def _reload_node(self, vm: SimulatedVM) -> None:
@@ -248,3 +247,17 @@
     async def _withdraw_key(self, vm: SimulatedVM) -> None:
         self.accounts.replace_key(self.now())
         await self._change_config(vm)
+
+
+def _signal_process(process: Process, signum: int) -> bool:
+    """Send a process a signal; report whether it had not ended.
+
+    ``Process.send_signal`` would take the exit code of a process that just ended.
+    """
+    if process.returncode is not None:
+        return False
+    try:
+        os.kill(process.pid, signum)
+    except ProcessLookupError:
+        return False
+    return True
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -1,6 +1,7 @@
 """Signals that reach a node's process while it starts, serves and stops."""
 
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -105,19 +106,23 @@
         process.wait()
 
 
+@pytest.mark.parametrize("event", ["node_started", "address_unavailable"])
 @pytest.mark.parametrize("signum", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])
 def test_signal_that_comes_when_the_stop_is_done_does_not_make_it_a_failure(
-    signum, tmp_path
+    signum, event, tmp_path
 ):
     settings, base = tmp_path / "settings.json", free_ports(PORTS_PER_NODE)
     write_settings(settings, 0, "127.0.0.1", base, ABSENT, "shop", ABSENT)
+    holder = socket.socket()
+    if event == "address_unavailable":
+        holder.bind(("127.0.0.1", base))
     code = END.format(signum=int(signum), settings=str(settings))
     command = [sys.executable, "-c", code]
     process = subprocess.Popen(
         command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
     )
     try:
-        assert any("node_started" in line for line in process.stdout)
+        assert any(event in line for line in process.stdout)
         process.send_signal(signal.SIGTERM)
         output = process.stdout.read()
         assert (process.wait(STOP_LIMIT_S), "Traceback" in output) == (0, False)
@@ -125,6 +130,7 @@
         process.kill()
         process.wait()
         process.stdout.close()
+        holder.close()
 
 
 def _await_line(log, text, process):
