Notice callers that go while their connection is not read

What targets see: the work for a caller that pipelined 64 requests, or whose next body waits for memory, goes on after it has left, until an answer is written to it.

Cause: reading is paused then, and the event loop watches neither the end of input nor a reset of a connection that it does not read.

Change: while reading is paused, one timer looks at the connection's socket every 0.1 s. A reset ends the connection. The end of input, where requests are unanswered and nothing is waiting to be written, starts the watch of half-closed connections, or closes the connection of a client that is not answered then (HTTP/1.0, repeatable work), as the end of input does where it is read. Requests that are not read yet stay, and are read and answered when reading resumes.

A caller that goes with its answers unread was noticed before, as the event loop watches a socket that it writes to; its two cases and those of callers that read late or pipeline much guard against harm.

--- a/dogwooddock/http1/connection.py
+++ b/dogwooddock/http1/connection.py
@@ -20,9 +20,14 @@
 
 import structlog
 
-from ..policy.halfclose import HalfClosePolicy, keeps_open
+from ..policy.halfclose import (
+    HalfClosePolicy,
+    PausedClient,
+    client_while_paused,
+    keeps_open,
+)
 from ..policy.heldbytes import SMALL_BODY_BYTES, Claim, Held, HeldBytes
-from .halfclose import INTERIM_RESPONSE, HalfCloseWatch
+from .halfclose import INTERIM_RESPONSE, HalfCloseWatch, PausedInputWatch
 from .messages import HttpError, Request, RequestParser, render_response
 from .sockets import tune_socket
 
@@ -219,6 +224,7 @@
         self.closed = False
         self.client_state = ClientState.OPEN
         self._half_close: HalfCloseWatch | None = None
+        self._paused_watch: PausedInputWatch | HalfCloseWatch | None = None
         self.peer_host = ""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -282,7 +288,7 @@
         self._body_claim = memory.ask(Held.REQUEST, size, self._read_body)
         if not self._body_claim.granted:
             self._waits_for_memory_since = self._loop.time()
-            self._transport.pause_reading()
+            self._pause_reading()
 
     def _read_body(self) -> None:
         """Read on, as there is memory for the body; its timeout starts anew."""
@@ -292,12 +298,18 @@
         if not self._pending:
             self._continue()
 
+    def _pause_reading(self) -> None:
+        self._transport.pause_reading()
+        if self._paused_watch is None and self._half_close is None:
+            self._paused_watch = PausedInputWatch(self._transport, self._on_paused_look)
+
     def _resume_reading(self) -> None:
         if (
             self._waits_for_memory_since is None
             and self._write_paused_at is None
             and len(self._pending) < MAX_PIPELINED_REQUESTS
         ):
+            self._stop_paused_watch()
             self._transport.resume_reading()
 
     def _hold_body(self, exchange: Exchange) -> None:
@@ -364,7 +376,7 @@
             self._hold_body(exchange)
         self._input_closed = not request.keep_alive
         if len(self._pending) >= MAX_PIPELINED_REQUESTS:
-            self._transport.pause_reading()
+            self._pause_reading()
         if refused:
             self.flush()
             return
@@ -407,6 +419,9 @@
             if close:
                 self._close_if_done()
                 return
+        if not pending and isinstance(self._paused_watch, HalfCloseWatch):
+            # An interim response may not follow the last response.
+            self._stop_paused_watch()
         self._resume_reading()
 
     def _close_if_done(self) -> None:
@@ -426,6 +441,7 @@
         if self._lingering or self.closed or self._transport.is_closing():
             return
         self._input_closed = self._lingering = True
+        self._stop_paused_watch()
         self._drop_incomplete_body()
         if self._half_close is not None:
             self._transport.close()
@@ -469,7 +485,7 @@
     def pause_writing(self) -> None:
         """Read no more while the client does not take its responses."""
         self._write_paused_at = self._loop.time()
-        self._transport.pause_reading()
+        self._pause_reading()
 
     def resume_writing(self) -> None:
         """Read on, once the client has taken its responses."""
@@ -488,11 +504,36 @@
         self._parser.drops_body = False
         self._drop_incomplete_body()
         if self._half_close is None:
-            version = self._parser.http_version
-            policy = HalfClosePolicy(self._loop.time(), version)
-            self._half_close = HalfCloseWatch(self._transport, policy, self._on_reset)
+            self._half_close = self._watch_half_close()
         return True
 
+    def _watch_half_close(self) -> HalfCloseWatch:
+        policy = HalfClosePolicy(self._loop.time(), self._parser.http_version)
+        return HalfCloseWatch(self._transport, policy, self._on_reset)
+
+    def _on_paused_look(self, is_reset: bool, has_ended: bool) -> None:
+        client = client_while_paused(
+            is_reset, has_ended, len(self._pending), self.unwritten_bytes
+        )
+        if client is PausedClient.GONE:
+            self._on_reset()
+        elif client is PausedClient.SENDS_NO_MORE:
+            self._on_paused_end()
+
+    def _on_paused_end(self) -> None:
+        """Ask whether the client reads on; what is unread stays until it is read."""
+        self.client_state = ClientState.SENDS_NO_MORE
+        self._stop_paused_watch()
+        if self._keeps_open():
+            self._paused_watch = self._watch_half_close()
+        else:
+            self._transport.close()
+
+    def _stop_paused_watch(self) -> None:
+        if self._paused_watch is not None:
+            self._paused_watch.stop()
+            self._paused_watch = None
+
     def _keeps_open(self) -> bool:
         kept = any(
             exchange.must_be_answered is not None and exchange.must_be_answered()
@@ -513,6 +554,7 @@
             self.client_state = ClientState.GONE
         if self._half_close is not None:
             self._half_close.stop()
+        self._stop_paused_watch()
         self._server.connections.discard(self)
         for exchange in self._pending:
             on_disconnect, exchange.on_disconnect = exchange.on_disconnect, None
--- a/dogwooddock/policy/halfclose.py
+++ b/dogwooddock/policy/halfclose.py
@@ -5,9 +5,17 @@
 the second write.
 """
 
-__all__ = ["HalfClosePolicy", "HalfCloseStep", "keeps_open"]
+__all__ = [
+    "PAUSED_LOOK_PERIOD_S",
+    "HalfClosePolicy",
+    "HalfCloseStep",
+    "PausedClient",
+    "client_while_paused",
+    "keeps_open",
+]
 
 from dataclasses import dataclass
+from enum import Enum
 
 # Clients of this version must accept interim responses (RFC 9110, section 15.2).
 INTERIM_VERSION = "1.1"
@@ -18,6 +26,8 @@
 RESET_DELAY_S = 0.2
 LOOK_PERIOD_S = 0.02
 LATE_LOOK_PERIOD_S = 0.1
+# Period of looks at a connection while its reading is paused.
+PAUSED_LOOK_PERIOD_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,3 +89,32 @@
     if not unanswered:
         return False
     return version == INTERIM_VERSION or must_be_answered
+
+
+class PausedClient(Enum):
+    """What a look at a connection shows of its client while reading is paused."""
+
+    STAYS = "stays"
+    SENDS_NO_MORE = "sends-no-more"
+    GONE = "gone"
+
+
+def client_while_paused(
+    is_reset: bool, has_ended: bool, unanswered: int, unwritten_bytes: int
+) -> PausedClient:
+    """Decide what a look at a connection tells while its reading is paused.
+
+    The end of input waits until the client has taken its responses: a client that has
+    closed resets the connection at these, as it does at an interim response.
+
+    Args:
+        is_reset: Whether the client has reset the connection.
+        has_ended: Whether the client sends no more; some of it may be unread.
+        unanswered: Complete requests that are not answered.
+        unwritten_bytes: Bytes of responses that the client has not taken yet.
+    """
+    if is_reset:
+        return PausedClient.GONE
+    if has_ended and unanswered and not unwritten_bytes:
+        return PausedClient.SENDS_NO_MORE
+    return PausedClient.STAYS
--- a/tests/test_half_close.py
+++ b/tests/test_half_close.py
@@ -10,13 +10,20 @@
 import struct
 import time
 from asyncio import StreamWriter
+from contextlib import asynccontextmanager
 
 import pytest
 import structlog
 
 from bench.mesh_standin import TargetMode
 from dogwooddock.http1.halfclose import HalfCloseWatch
-from dogwooddock.policy.halfclose import HalfClosePolicy
+from dogwooddock.http1.server import HttpServer
+from dogwooddock.policy.halfclose import (
+    HalfClosePolicy,
+    PausedClient,
+    client_while_paused,
+)
+from dogwooddock.policy.heldbytes import Held, HeldBytes
 
 from .mesh_helpers import running_fleet
 from .virtual_time import run
@@ -296,3 +303,128 @@
             assert vm.node.ingress.in_flight == 0
 
     run(scenario())
+
+
+LARGE_BYTES = 14_000_000  # More than the system takes.
+UPLOAD = request("/order/4", "h", "POST", b"x" * 100_000)
+OLD_UPLOAD = request(
+    "/order/5", "i", "POST", b"x" * 100_000, "1.0", "Content-Length: 100000"
+)
+MORE_THAN_IS_READ = b"".join(request("/read/1", f"m{n}") for n in range(200))
+
+
+def _answer_large_first(exchange):
+    if exchange.request.path == b"/read/1":
+        exchange.respond(200, b"", b"x" * LARGE_BYTES)
+
+
+@asynccontextmanager
+async def _paused_connection(handler, data):
+    """Connect to a server without memory for bodies; wait until it reads no more."""
+    server = HttpServer(handler, memory=HeldBytes(100))
+    server.memory.hold(Held.REQUEST, 100)
+    server.answers_half_closed = True
+    address = await server.start(("127.0.0.1", 0))
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(data)
+    while not any(conn._pending and _is_paused(conn) for conn in server.connections):
+        await asyncio.sleep(0.01)
+    yield server, reader, writer
+    writer.transport.abort()
+    server.stop()
+
+
+def _is_paused(conn):
+    return not conn._transport.is_reading()
+
+
+@pytest.mark.parametrize("leave", [StreamWriter.close, _reset])
+@pytest.mark.parametrize(
+    ("handler", "data"),
+    [
+        (lambda exchange: None, MORE_THAN_IS_READ),
+        (lambda exchange: None, GET + UPLOAD),
+        (lambda exchange: None, GET + OLD_UPLOAD),
+        (_answer_large_first, GET + OTHER),
+    ],
+    ids=["pipelined", "waits-for-memory", "http-1.0", "answers-unread"],
+)
+def test_caller_that_is_gone_is_noticed_while_reading_is_paused(handler, data, leave):
+    async def scenario():
+        async with _paused_connection(handler, data) as (server, _, writer):
+            leave(writer)
+            await asyncio.sleep(NOTICE_S)
+            assert not server.connections
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("sends_on", [False, True], ids=["sends-no-more", "sends-on"])
+def test_caller_that_pipelines_much_and_waits_long_gets_every_answer(sends_on):
+    async def scenario():
+        handled = []
+        data = MORE_THAN_IS_READ
+        async with _paused_connection(handled.append, data) as (_, reader, writer):
+            if not sends_on:
+                writer.write_eof()
+            await asyncio.sleep(1.0)
+            received = b""
+            for number in range(200):
+                while number >= len(handled):
+                    await asyncio.sleep(0.01)
+                handled[number].respond(200, b"", b"")
+            while len(final_statuses(received)) < 200:
+                received += await asyncio.wait_for(reader.read(65536), 1.0)
+            assert (b" 100 Continue" in received) is not sends_on
+            if not sends_on:
+                assert await reader.read() == b""
+
+    run(scenario())
+
+
+def test_caller_that_reads_late_and_sends_no_more_gets_the_answers_whole():
+    async def scenario():
+        handled = []
+
+        def handler(exchange):
+            handled.append(exchange)
+            _answer_large_first(exchange)
+
+        async with _paused_connection(handler, GET + OTHER) as (_, reader, writer):
+            writer.write_eof()
+            await asyncio.sleep(1.0)
+            received = await reader.readexactly(LARGE_BYTES)
+            handled[1].respond(200, b"", b"end")
+            received += await reader.read()
+            assert final_statuses(received) == [200, 200]
+            assert b"x" * LARGE_BYTES in received and received.endswith(b"end")
+
+    run(scenario())
+
+
+def test_no_interim_response_follows_the_last_response_while_a_body_waits():
+    async def scenario():
+        handled = []
+        data = GET + UPLOAD
+        async with _paused_connection(handled.append, data) as (_, reader, writer):
+            writer.write_eof()
+            await reader.readuntil(b" 100 Continue\r\n\r\n")
+            handled[0].respond(200, b"", b"end")
+            await asyncio.sleep(0.3)
+            assert (await reader.read(65536)).endswith(b"end")
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("look", "client"),
+    [
+        ((False, False, 64, 0), PausedClient.STAYS),
+        ((False, True, 64, 0), PausedClient.SENDS_NO_MORE),
+        ((False, True, 64, 1), PausedClient.STAYS),
+        ((False, True, 0, 0), PausedClient.STAYS),
+        ((True, True, 64, 1), PausedClient.GONE),
+    ],
+)
+def test_look_while_reading_is_paused_tells_who_is_gone(look, client):
+    assert client_while_paused(*look) is client
