Name the remedy of each cause for which a node waits at its start

What operators saw: an address that the VM does not have, or descriptors that are used up, were logged with the remedy to end the process that holds the address.

Change: the remedy follows the error. Two of the three cases of test_wait_for_an_address_names_the_remedy_of_its_cause failed before, all pass.

--- a/dogwooddock/listening.py
+++ b/dogwooddock/listening.py
@@ -29,17 +29,16 @@
 # With port 0, the system may choose a TCP port whose UDP port is held.
 PORT_ATTEMPTS = 50
 WILDCARDS = frozenset({"0.0.0.0", "::"})
+FREE_RESOURCES = "end what uses up the VM's descriptors or memory, or raise the limit"
 # What another process, the VM's network or a limit causes may end by itself.
-TRANSIENT_ERRORS = frozenset(
-    {
-        errno.EADDRINUSE,
-        errno.EADDRNOTAVAIL,
-        errno.EMFILE,
-        errno.ENFILE,
-        errno.ENOBUFS,
-        errno.ENOMEM,
-    }
-)
+TRANSIENT_ERRORS = {
+    errno.EADDRINUSE: "end the process that holds it, or change the setting",
+    errno.EADDRNOTAVAIL: "give the VM this address, or change the setting",
+    errno.EMFILE: FREE_RESOURCES,
+    errno.ENFILE: FREE_RESOURCES,
+    errno.ENOBUFS: FREE_RESOURCES,
+    errno.ENOMEM: FREE_RESOURCES,
+}
 
 log = structlog.get_logger()
 
@@ -186,7 +185,8 @@
             self._release(wanted.port_of)
 
     def _on_failure(self, wanted: ListenAddress, exc: OSError, now: float) -> None:
-        if exc.errno not in TRANSIENT_ERRORS:
+        remedy = TRANSIENT_ERRORS.get(exc.errno or 0)
+        if remedy is None:
             self.close()
             raise InvalidSettings(
                 f"{wanted.setting}: cannot listen on {wanted} ({exc}); correct it"
@@ -202,7 +202,7 @@
             setting=wanted.setting,
             address=str(wanted),
             error=exc.strerror,
-            remedy="end the process that holds it, or change the setting",
+            remedy=remedy,
         )
 
     def _release_listening(self) -> None:
--- a/tests/test_held_addresses.py
+++ b/tests/test_held_addresses.py
@@ -1,5 +1,6 @@
 """Nodes that start while another process holds an address that they listen on."""
 
+import errno
 import json
 import os
 import signal
@@ -10,8 +11,10 @@
 import time
 
 import pytest
+import structlog
 
 from bench.settingsfile import PORTS_PER_NODE, free_ports, write_settings
+from dogwooddock import listening
 
 HOST = "127.0.0.1"
 ABSENT = (HOST, 9)
@@ -225,6 +228,25 @@
     assert "Traceback" not in text
 
 
+@pytest.mark.parametrize(
+    ("code", "remedy"),
+    [
+        (errno.EADDRINUSE, "process"),
+        (errno.EADDRNOTAVAIL, "give the VM"),
+        (errno.EMFILE, "limit"),
+    ],
+)
+def test_wait_for_an_address_names_the_remedy_of_its_cause(monkeypatch, code, remedy):
+    def fail(*_):
+        raise OSError(code, "cannot bind")
+
+    monkeypatch.setattr(listening, "bind_socket", fail)
+    wanted = listening.ListenAddress("caller", "listen.outbound", (HOST, 1))
+    with structlog.testing.capture_logs() as lines:
+        assert listening.AddressReservation([wanted]).attempt(0.0) is None
+    assert remedy in lines[0]["remedy"]
+
+
 @pytest.mark.parametrize("written", ["", '{"node": "node-0", "lis'])
 def test_node_starts_once_its_settings_file_is_written_to_the_end(tmp_path, written):
     base = free_ports(PORTS_PER_NODE)
