--- a/dogwooddock/mesh/ingress.py
+++ b/dogwooddock/mesh/ingress.py
@@ -14,13 +14,14 @@
 from ..http1.server import Exchange
 from ..policy.accounts import ClientAccount
 from ..policy.accountshares import AccountRanks
-from ..policy.heldbytes import SMALL_BODY_BYTES, AnswerSizes, Held, HeldBytes
+from ..policy.heldbytes import HeldBytes
 from ..policy.outcomes import Outcome, Reason
 from ..policy.quarantine import Quarantine, QuarantineStatus, fingerprint
 from ..policy.recentlatency import RecentLatency
 from ..policy.retryallowance import RetryAllowance
 from ..policy.shutdown import Shutdown
 from .admissionlevels import AdmissionLevels
+from .answermemory import AnswerMemory
 from .authentication import Authentication
 from .calls import MeshCall, MeshReply
 from .config import ConfigHolder
@@ -46,11 +47,8 @@
 # than the time in which the gate awaits the target's answer.
 ANSWER_GRACE_S = 0.12
 LINK_RETRY_PERIOD_S = 0.03
-# Shares of the latency objective for which a request may wait for a link, for memory.
+# Share of the latency objective for which a request may wait for a link.
 MAX_LINK_WAIT_SHARE = 0.12
-MAX_MEMORY_WAIT_SHARE = 0.3
-# Longest wait for memory before the size of any answer of the route is known.
-UNKNOWN_SIZE_WAIT_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,8 +104,9 @@
     ):
         self._loop = asyncio.get_running_loop()
         self._env = env
-        self._memory = memory or HeldBytes()
-        self._answer_sizes = AnswerSizes()
+        self._answer_memory = AnswerMemory(
+            memory or HeldBytes(), self._start_attempt, self._give_up
+        )
         self._wire = wire
         self._config = config
         self._fleet = fleet
@@ -287,45 +286,7 @@
             )
         if pending.done:
             return
-        size = self._answer_sizes.expected(pending.route.name)
-        if size <= SMALL_BODY_BYTES or pending.parent is not None:
-            self._start_attempt(pending)
-        else:
-            self._claim_answer(pending, size)
-
-    def _claim_answer(self, pending: PendingRequest, size: int) -> None:
-        """Start a request once there is memory for its answer.
-
-        Calls of a request that runs already start in any case.
-        """
-
-        def start() -> None:
-            self._loop.call_soon(self._start_attempt, pending)
-
-        claim = self._memory.ask(Held.EXPECTED, size, start)
-        pending.answer_claim = claim
-        if claim.granted:
-            self._start_attempt(pending)
-            return
-        if not self._answer_sizes.is_known(pending.route.name):
-            self._loop.call_later(UNKNOWN_SIZE_WAIT_S, self._review_size, pending)
-        wait_s = pending.route.objective_s * MAX_MEMORY_WAIT_SHARE
-        self._loop.call_later(wait_s, self._end_memory_wait, pending)
-
-    def _review_size(self, pending: PendingRequest) -> None:
-        """Start a waiting request if its route's answers are small or still unknown."""
-        claim, route = pending.answer_claim, pending.route.name
-        if pending.done or claim is None or claim.granted:
-            return
-        size = self._answer_sizes.expected(route)
-        if size <= SMALL_BODY_BYTES or not self._answer_sizes.is_known(route):
-            self._memory.resize(claim, size)
-            self._start_attempt(pending)
-
-    def _end_memory_wait(self, pending: PendingRequest) -> None:
-        claim = pending.answer_claim
-        if not pending.done and claim is not None and not claim.granted:
-            self._give_up(pending, Reason.MEMORY)
+        self._answer_memory.start(pending)
 
     def _start_attempt(self, pending: PendingRequest) -> None:
         if pending.done:
@@ -401,7 +362,7 @@
     def _deliver(self, pending: PendingRequest, reply: MeshReply) -> None:
         if reply.status >= 300:
             self._errors.log_failure(pending, reply.reason, reply.status)
-        self._answer_sizes.record(pending.route.name, len(reply.body))
+        self._answer_memory.record(pending.route.name, len(reply.body))
         self._finish(pending, Outcome.ANSWERED, reply.reason, reply.status < 300)
         pending.exchange.respond(reply.status, reply.headers, reply.body)
 
@@ -455,8 +416,7 @@
             )
         if pending.timer is not None:
             pending.timer.cancel()
-        if pending.answer_claim is not None:
-            self._memory.release(pending.answer_claim)
+        self._answer_memory.release(pending)
         if pending.parent is not None and not succeeded:
             pending.parent.downstream_failed = True
         route = pending.route.name
