--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -169,7 +169,7 @@
         (
             (
                 "listening.py",
-                "if exc.errno not in TRANSIENT_ERRORS:",
+                "if remedy is None:",
                 "if exc is not None:",
             ),
         ),
