End a node that waits for its settings file with code 0 at a stop signal

What operators saw: a stop signal in the 2 s in which a node waits for a file that is being written ended it with code 2, as if the settings had been refused.

Cause: the wait raised the error of its last read. Change: it ends as the wait for addresses does. test_stop_signal_ends_a_node_that_waits_for_its_settings_file failed before and passes.

--- a/dogwooddock/platform/startup.py
+++ b/dogwooddock/platform/startup.py
@@ -48,6 +48,8 @@
                 be listened on.
         """
         env = await self._read_settings()
+        if env is None:
+            return None
         reservation = AddressReservation(listen_addresses(env))
         while not self._stopping.is_set():
             sockets = reservation.attempt(self._loop.time())
@@ -60,15 +62,22 @@
         log.info("node_stopped", reason="stop signal before the addresses were free")
         return None
 
-    async def _read_settings(self) -> NodeEnvironment:
-        """Read the settings; allow some time for a file that is being written."""
+    async def _read_settings(self) -> NodeEnvironment | None:
+        """Read the settings; allow some time for a file that is being written.
+
+        Returns:
+            The settings; None if a stop signal comes before they can be read.
+        """
         deadline = self._loop.time() + SETTINGS_TIMEOUT_S
         waits = False
         while True:
             try:
                 return self._settings_file.read()
             except UnreadableSettings as exc:
-                if self._stopping.is_set() or self._loop.time() >= deadline:
+                if self._stopping.is_set():
+                    log.info("node_stopped", reason="stop signal before the settings")
+                    return None
+                if self._loop.time() >= deadline:
                     raise
                 if not waits:
                     log.warning("settings_unreadable", error=str(exc))
--- a/tests/test_held_addresses.py
+++ b/tests/test_held_addresses.py
@@ -257,6 +257,13 @@
         assert node.serves()
 
 
+def test_stop_signal_ends_a_node_that_waits_for_its_settings_file(tmp_path):
+    with NodeProcess(tmp_path, free_ports(PORTS_PER_NODE), text="") as node:
+        assert node.read_until("settings_unreadable")
+        node.process.send_signal(signal.SIGTERM)
+        assert node.process.wait(LIMIT_S) == 0
+
+
 @pytest.mark.parametrize("text", ["", "[" * 100_000, '{"node": "\ud800'])
 def test_settings_file_that_stays_unreadable_is_refused_by_its_path(tmp_path, text):
     text = text.encode(errors="surrogatepass").decode("latin-1")
