Stand-ins: a server may answer with a body of a given size

Cause: a trial with clients that read slowly needs large answers. Done: a size by path, empty by default.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -230,6 +230,7 @@
         self.id = server_id
         self.slots = slots
         self.work_s = work_s
+        self.answer_bytes = lambda target: 0
         self.state = "ready"
         self.born = int(time.time() * 1000)
         self.sequence = 0
@@ -359,7 +360,9 @@
             self.record.add(f"server {self.id} ends {request_id} at its time budget")
             return render_response(504, echo, b"time budget")
         self.record.add(f"server {self.id} answers {request_id}")
-        return render_response(200, echo, b"done " + request_id.encode())
+        size = self.answer_bytes(request.target)
+        body = b"a" * size or b"done " + request_id.encode()
+        return render_response(200, echo, body)
 
 
 class Node:
