Count a request's head as it arrives, and hold it as bytes

Seen by callers: a header name or value, or a trailer, that did not end was gathered without a bound, on each HTTP port; chunks of 2 bytes took some 40 times their size; a legal head of many short lines was refused with 431.

Cause: httptools holds a line until it is whole, and the limit was checked then only, with 4 bytes a line for two separators that may be shorter. Fields and pieces were held as objects.

Change: RequestParser gives the library whole lines of one message at a time. It counts the request line, the header block, empty lines before them, and chunk framing in a row as sent, against max_header_bytes. An incomplete request holds many fields packed as bytes, and a body is gathered in one block (BodyBuffer). A length beyond max_body_bytes is refused at the head. The parsers have a module of their own.

--- a/dogwooddock/http1/client.py
+++ b/dogwooddock/http1/client.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass
 from typing import cast
 
-from .messages import HttpError, Response, ResponseParser
+from .messages import HttpError, Response
+from .parsers import ResponseParser
 from .sockets import tune_socket
 
 MAX_HEADER_BYTES = 64 * 1024
--- a/dogwooddock/http1/connection.py
+++ b/dogwooddock/http1/connection.py
@@ -19,7 +19,8 @@
 from ..policy.heldbytes import SMALL_BODY_BYTES, Held, MemoryClaim
 from .exchange import ClientState, Exchange, ServerConnection, ServerState
 from .halfclose import INTERIM_RESPONSE, HalfCloseWatch, PausedInputWatch
-from .messages import HttpError, Request, RequestParser, render_response
+from .messages import HttpError, Request, render_response
+from .parsers import RequestParser
 from .sockets import tune_socket
 
 MAX_PIPELINED_REQUESTS = 64
@@ -118,7 +119,7 @@
         parser = self._parser
         if self._body_claim is not None or parser.drops_body or self._input_closed:
             return
-        size = parser.expected_body_bytes()
+        size = self._expected_body_bytes()
         if size <= SMALL_BODY_BYTES:
             return
         memory = self._server.memory
@@ -127,6 +128,18 @@
             self._waits_for_memory_since = self._loop.time()
             self._pause_reading()
 
+    def _expected_body_bytes(self) -> int:
+        """Return the size that the body of the incomplete request may reach.
+
+        One of unknown length counts once its first bytes have come.
+        """
+        parser = self._parser
+        if not parser.in_body:
+            return 0
+        if parser.body_length is not None:
+            return parser.body_length
+        return parser.max_body_bytes if parser.body_bytes else 0
+
     def _read_body(self) -> None:
         """Read on, as there is memory for the body; its timeout starts anew."""
         self._waits_for_memory_since = None
--- a/tests/test_absolute_targets.py
+++ b/tests/test_absolute_targets.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from dogwooddock.http1.messages import HttpError, RequestParser
+from dogwooddock.http1.messages import HttpError
+from dogwooddock.http1.parsers import RequestParser
 
 from .mesh_helpers import running_fleet
 from .virtual_time import run
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -9,7 +9,8 @@
 import pytest
 
 from dogwooddock.errors import TargetError
-from dogwooddock.http1.messages import HttpError, ResponseParser
+from dogwooddock.http1.messages import HttpError
+from dogwooddock.http1.parsers import ResponseParser
 from dogwooddock.targets.client import Canceller, HttpTarget
 
 MAX_BYTES = 1 << 20
