Hash a request's body without copies of it

Seen: a body of 64 MB took 243 MB at its node, on machines of 200.

Cause: fingerprint() joined the body to the text before it, twice. Change: the parts are hashed one after the other; the hash stays the same.

--- a/dogwooddock/policy/quarantine.py
+++ b/dogwooddock/policy/quarantine.py
@@ -29,8 +29,11 @@
     It covers the route and the idempotency key, or method, path and body if there is no
     key.
     """
-    identity = key.encode() if key else f"{method} {path}".encode() + b"\0" + body
-    return hashlib.sha256(route.encode() + b"\0" + identity).hexdigest()[:24]
+    identity = key or f"{method} {path}\0"
+    digest = hashlib.sha256(f"{route}\0{identity}".encode())
+    if not key:
+        digest.update(body)
+    return digest.hexdigest()[:24]
 
 
 class QuarantineStatus(Enum):
