End the timers of a wait for memory with the request

Seen: 200 clients that ask for 2 MB and read nothing took 440 MB at their node, though the kernel had taken the answers: 191 answered requests were held.

Change: they are cancelled when the request's memory is given back.

--- a/dogwooddock/mesh/answermemory.py
+++ b/dogwooddock/mesh/answermemory.py
@@ -53,6 +53,9 @@
 
     def release(self, pending: PendingRequest) -> None:
         """Free the memory that a request has claimed, or end its wait."""
+        for timer in pending.answer_timers:
+            timer.cancel()  # It would hold the answer until it ends.
+        pending.answer_timers = ()
         if pending.answer_claim is not None:
             self._memory.release(pending.answer_claim)
 
@@ -65,10 +68,12 @@
         if claim.granted:
             self._begin(pending)
             return
-        if not self._sizes.is_known(pending.route.name):
-            self._loop.call_later(UNKNOWN_SIZE_WAIT_S, self._review_size, pending)
+        later = self._loop.call_later
         wait_s = pending.route.objective_s * MAX_WAIT_SHARE
-        self._loop.call_later(wait_s, self._end_wait, pending)
+        timers = [later(wait_s, self._end_wait, pending)]
+        if not self._sizes.is_known(pending.route.name):
+            timers.append(later(UNKNOWN_SIZE_WAIT_S, self._review_size, pending))
+        pending.answer_timers = tuple(timers)
 
     def _review_size(self, pending: PendingRequest) -> None:
         """Begin a waiting request if its route's answers are small or still unknown."""
--- a/dogwooddock/mesh/pending.py
+++ b/dogwooddock/mesh/pending.py
@@ -57,6 +57,7 @@
         permit: Its token of the quota, or None.
         withdraw: Withdraws it while it waits for a token, else None.
         answer_claim: Memory claimed for its answer, or None.
+        answer_timers: Timers of its wait for this memory.
     """
 
     exchange: Exchange
@@ -84,6 +85,7 @@
     permit: QuotaPermit | None = None
     withdraw: Callable[[], None] | None = None
     answer_claim: MemoryClaim | None = None
+    answer_timers: tuple[asyncio.TimerHandle, ...] = ()
 
     @property
     def objective_at(self) -> float:
