Count what a client's connection holds at what it costs, and bound its time

Seen by callers: small requests, their heads and answers were not counted, so a crowd of pipelined ones, or of heads of short lines, took a node over its memory; a body in chunks claimed 64 MB, so uploads waited for each other; a client that left while its upload waited was not noticed; a byte now and then kept a connection open for ever; each port took connections and bodies without a limit of its own.

Cause: the budget counted bodies above 16 KB, once, and the timeout counted pauses only.

Change: each request is counted from its first byte (RequestMemory), with its objects and copies (request_cost); small ones have a part of their own, and without room one is refused as not run, a connection with several in progress is read no further, and the oldest incomplete head is refused. A body of unknown length claims twice what has arrived. Large answers are read as memory for them is there. Messages above 64 KB are written in slices (PacedWriter), so that no transport holds a copy. header_timeout bounds the whole head; a body must go on within it and end within the client's own deadline, which runs from its first byte. Looks at a paused connection notice a client that left while its upload waits. limits.max_fds is divided among ports; beyond its share the connection that is idle for the longest time is closed. Probes, heartbeats and operators send at most 16 KB. write_eof on a connection that was reset ends this connection only.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -97,7 +97,7 @@
         "truncated-answer-accepted",
         (
             (
-                "http1/messages.py",
+                "http1/parsers.py",
                 "if not (self.in_message and self._in_body) or has_framing:",
                 "if not (self.in_message and self._in_body):",
             ),
--- a/dogwooddock/http1/client.py
+++ b/dogwooddock/http1/client.py
@@ -7,7 +7,10 @@
 from dataclasses import dataclass
 from typing import cast
 
+from ..policy.heldbytes import Held, HeldBytes
+from .inputmemory import BodyMemory
 from .messages import HttpError, Response
+from .pacedwriter import PacedWriter
 from .parsers import ResponseParser
 from .sockets import tune_socket
 
@@ -78,19 +81,26 @@
 
     Args:
         memory: Bound on what incomplete responses hold, or None.
+        budget: Budget of memory for large responses, which are read no further than
+            it allows; None for no limit.
     """
 
-    def __init__(self, memory: ResponseMemory | None = None) -> None:
+    def __init__(
+        self, memory: ResponseMemory | None = None, budget: HeldBytes | None = None
+    ) -> None:
         self._loop = asyncio.get_running_loop()
         self._memory = memory
         self._skipped_responses = 0
         self._parser = ResponseParser(MAX_HEADER_BYTES, MAX_BODY_BYTES)
+        self._body_memory = BodyMemory(
+            budget or HeldBytes(), Held.READING, self._parser, self._resume_reading
+        )
         self._on_result: Callable[[Result], None] | None = None
         self._matches: ResponseMatcher = _accept_any
         self._transport: asyncio.Transport
         self._response_started = False
         self._completed_requests = 0
-        self._write_paused = False
+        self._writer: PacedWriter
         self._idle_limit_s = DEFAULT_IDLE_S
         self.opened_at = self._loop.time()
         self.idle_since = self.opened_at
@@ -99,6 +109,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options and mark the connection usable."""
         self._transport = cast(asyncio.Transport, transport)
+        self._writer = PacedWriter(self._transport)
         tune_socket(self._transport)
         self.usable = True
 
@@ -128,6 +139,7 @@
         on_result: Callable[[Result], None],
         matches: ResponseMatcher = _accept_any,
         bodiless: bool = False,
+        body: bytes = b"",
     ) -> None:
         """Write a request.
 
@@ -138,6 +150,7 @@
             matches: Reports whether a response belongs to this request; other
                 responses are skipped.
             bodiless: Whether the response has no body, as to a HEAD request.
+            body: Bytes that follow the request, if they are not part of it.
         """
         if not self.usable:
             on_result(
@@ -155,7 +168,7 @@
         self._response_started = False
         self._skipped_responses = 0
         self._parser.bodiless = bodiless
-        self._transport.write(data)
+        self._writer.write(data, body)
 
     async def exchange(self, data: bytes) -> Result:
         """Write a request and wait for its response or failure."""
@@ -189,6 +202,13 @@
             self.fail("the responses of other requests do not end")
         elif self._memory is not None:
             self._memory.set_held(self, self._parser.buffered_bytes)
+        self._body_memory.follow()
+        if self._body_memory.waits and self.usable:
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if self.usable:
+            self._transport.resume_reading()
 
     def _finish(self, response: Response, extra_data: bool) -> None:
         """Complete the request; close the connection if it cannot be reused."""
@@ -196,7 +216,8 @@
         self._completed_requests += 1
         self.idle_since = self._loop.time()
         self._update_idle_limit(response)
-        if extra_data or self._write_paused or not response.keep_alive:
+        if extra_data or self._writer.is_behind or not response.keep_alive:
+            self._writer.clear()
             self.close()
         assert on_result is not None
         on_result(response)
@@ -216,12 +237,14 @@
         """Return the callback of the request; nothing of the request is held on."""
         on_result, self._on_result = self._on_result, None
         self._matches = _accept_any
+        self._body_memory.release()
         if self._memory is not None:
             self._memory.set_held(self, 0)
         return on_result
 
     def _fail(self, cause: str, closed_by_peer: bool) -> None:
         on_result = self._take_callback()
+        self._writer.clear()
         if not closed_by_peer and self.usable:
             self._transport.abort()
             self.usable = False
@@ -239,12 +262,12 @@
             )
 
     def pause_writing(self) -> None:
-        """Record that the write buffer is full because the server does not read."""
-        self._write_paused = True
+        """Keep the rest of the request, as the server does not read."""
+        self._writer.pause()
 
     def resume_writing(self) -> None:
-        """Record that the write buffer has drained."""
-        self._write_paused = False
+        """Write the rest of the request."""
+        self._writer.resume()
 
     def eof_received(self) -> bool:
         """Complete a response whose body is delimited by the end of the connection."""
@@ -266,6 +289,7 @@
     def abort(self) -> None:
         """Abort the connection without reporting a result for its request."""
         self._take_callback()
+        self._writer.clear()
         self._parser.drop_body()
         if self.usable:
             self.usable = False
@@ -286,11 +310,18 @@
     Args:
         address: Address of the server.
         memory: Bound on what incomplete responses hold, or None.
+        budget: Budget of memory for large responses; None for no limit.
     """
 
-    def __init__(self, address: tuple[str, int], memory: ResponseMemory | None = None):
+    def __init__(
+        self,
+        address: tuple[str, int],
+        memory: ResponseMemory | None = None,
+        budget: HeldBytes | None = None,
+    ):
         self.address = address
         self._memory = memory
+        self._budget = budget
         self._idle: list[ClientConnection] = []
         self.opened = 0
 
@@ -323,7 +354,7 @@
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             _, conn = await loop.create_connection(
-                lambda: ClientConnection(self._memory), *self.address
+                lambda: ClientConnection(self._memory, self._budget), *self.address
             )
         self.opened += 1
         return conn
--- a/dogwooddock/http1/connection.py
+++ b/dogwooddock/http1/connection.py
@@ -16,10 +16,12 @@
     client_while_paused,
     keeps_open,
 )
-from ..policy.heldbytes import SMALL_BODY_BYTES, Held, MemoryClaim
+from ..policy.heldbytes import Held, MemoryClaim
 from .exchange import ClientState, Exchange, ServerConnection, ServerState
 from .halfclose import INTERIM_RESPONSE, HalfCloseWatch, PausedInputWatch
+from .inputmemory import RequestMemory
 from .messages import HttpError, Request, render_response
+from .pacedwriter import PacedWriter
 from .parsers import RequestParser
 from .sockets import tune_socket
 
@@ -30,7 +32,6 @@
 READ_BYTES = 32 * 1024
 # Longest wait of a request for memory for its body.
 MEMORY_WAIT_S = 10.0
-WRITE_HIGH_WATER_BYTES = 256 * 1024
 RESET_DELAY_S = 0.01
 
 log = structlog.get_logger()
@@ -48,17 +49,23 @@
         self._parser = RequestParser(
             server.limits.max_header_bytes, server.limits.max_body_bytes
         )
+        self._memory = RequestMemory(server.memory, self._parser, self._read_body)
         self._pending: deque[Exchange] = deque()
         self._refused: deque[Exchange] = deque()
         self._write_paused_at: float | None = None
         self._input_closed = False
+        self._parsing = False
         self._lingering = False
-        self._body_claim: MemoryClaim | None = None
         self._unwritten_claim: MemoryClaim | None = None
         self._waits_for_memory_since: float | None = None
         self._loop = asyncio.get_running_loop()
         self._last_activity_at = self._loop.time()
+        # Of the incomplete request: its first byte, and the last one of its body.
+        self._began_at = self._progress_at = self._last_activity_at
+        self._body_bytes = 0
+        self._body_until = 0.0
         self._transport: asyncio.Transport
+        self._writer: PacedWriter
         self.closed = False
         self.client_state = ClientState.OPEN
         self._half_close: HalfCloseWatch | None = None
@@ -68,82 +75,107 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start serving the connection."""
         self._transport = cast(asyncio.Transport, transport)
-        self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        self._writer = PacedWriter(self._transport)
         # Of asyncio's socket transports: the most that is read before a pause holds.
         cast(Any, self._transport).max_size = READ_BYTES
         tune_socket(self._transport)
         peer = self._transport.get_extra_info("peername")
         self.peer_host = peer[0] if peer else ""
-        self._server.connections.add(self)
-        self._server.accepted += 1
+        self._server.admit(self)
 
     def data_received(self, data: bytes) -> None:
         """Parse what the client sends, and handle the requests that it completes."""
         if self._input_closed and not self._parser.drops_body:
             return
-        self._last_activity_at = self._loop.time()
-        parser = self._parser
-        if not parser.in_message:
-            parser.max_header_bytes = self._server.limits.max_header_bytes
-            parser.max_body_bytes = self._server.limits.max_body_bytes
-        was_dropping = parser.drops_body
-        parser.refuses_head = self._refuses_head if self._server.head_check else None
-        error = None
+        self._parser.receive(data)
+        self._process_input()
+
+    # Input.
+
+    def _process_input(self) -> None:
+        """Handle the requests that have arrived, up to the limit of pipelined ones."""
+        may_continue = not self._pending
+        was_dropping = self._parser.drops_body
+        self._parsing = True
         try:
-            requests = parser.feed(data)
+            self._handle_requests()
         except HttpError as exc:
-            error = exc
-            requests = parser.take_completed()
-        may_continue = not self._pending
-        for request in requests:
+            self._reject(exc)
+            return
+        finally:
+            self._parsing = False
+        if self._parser.in_message:
+            self._follow_incomplete(may_continue)
+        else:
+            self._end_incomplete()
+            if was_dropping:
+                self._close_if_done()
+        if len(self._pending) >= self._max_pipelined:
+            self._pause_reading()
+
+    def _handle_requests(self) -> None:
+        parser, server = self._parser, self._server
+        while len(self._pending) < self._max_pipelined:
+            if not parser.in_message:
+                parser.max_header_bytes = server.limits.max_header_bytes
+                parser.max_body_bytes = server.limits.max_body_bytes
+            parser.refuses_head = self._refuses_head if server.head_check else None
+            request = parser.next_request()
+            if request is None:
+                return
             self._handle_request(request)
-        if error is None and parser.in_message:
-            self._claim_body()
-            if may_continue:
-                self._continue()
-        if error is not None:
-            self._reject(error)
-        elif was_dropping:
-            self._close_if_done()
+            if self._input_closed and not parser.drops_body:
+                parser.discard_input()
+                return
+
+    @property
+    def _max_pipelined(self) -> int:
+        """Return how many requests of the connection may be in progress."""
+        return 1 if self._server.memory.is_crowded else MAX_PIPELINED_REQUESTS
+
+    def _follow_incomplete(self, may_continue: bool) -> None:
+        """Record what has arrived of an incomplete request, and claim memory for it."""
+        now, parser = self._loop.time(), self._parser
+        if self not in self._server.incomplete:
+            self._began_at = self._progress_at = self._last_activity_at = now
+            self._body_bytes = 0
+            self._body_until = 0.0
+            self._server.incomplete[self] = None
+        if parser.in_body:
+            self._follow_body(now)
+        self._memory.follow()
+        if self._memory.waits and self._waits_for_memory_since is None:
+            self._waits_for_memory_since = now
+            self._pause_reading()
+        if may_continue:
+            self._continue()
+        self._server.relieve_memory()
+
+    def _follow_body(self, now: float) -> None:
+        parser = self._parser
+        if not self._body_until:
+            head = parser.partial_request()
+            self._body_until = self._began_at + self._server.body_timeout_s(head)
+            self._progress_at = now
+        if parser.body_bytes != self._body_bytes:
+            self._body_bytes = parser.body_bytes
+            self._progress_at = now
+
+    def _end_incomplete(self) -> None:
+        self._server.incomplete.pop(self, None)
 
     def _continue(self) -> None:
         """Let a client send its body that awaits 100 Continue, if there is memory."""
         if self._parser.wants_continue and self._waits_for_memory_since is None:
             self._parser.wants_continue = False
-            self._transport.write(INTERIM_RESPONSE)
+            self._writer.write(INTERIM_RESPONSE)
 
     # Memory for bodies.
 
-    def _claim_body(self) -> None:
-        """Claim memory for the body that is arriving; read no more until granted."""
-        parser = self._parser
-        if self._body_claim is not None or parser.drops_body or self._input_closed:
-            return
-        size = self._expected_body_bytes()
-        if size <= SMALL_BODY_BYTES:
-            return
-        memory = self._server.memory
-        self._body_claim = memory.ask(Held.REQUEST, size, self._read_body)
-        if not self._body_claim.granted:
-            self._waits_for_memory_since = self._loop.time()
-            self._pause_reading()
-
-    def _expected_body_bytes(self) -> int:
-        """Return the size that the body of the incomplete request may reach.
-
-        One of unknown length counts once its first bytes have come.
-        """
-        parser = self._parser
-        if not parser.in_body:
-            return 0
-        if parser.body_length is not None:
-            return parser.body_length
-        return parser.max_body_bytes if parser.body_bytes else 0
-
     def _read_body(self) -> None:
         """Read on, as there is memory for the body; its timeout starts anew."""
         self._waits_for_memory_since = None
-        self._last_activity_at = self._loop.time()
+        self._progress_at = self._loop.time()
         self._resume_reading()
         if not self._pending:
             self._continue()
@@ -154,37 +186,35 @@
             self._paused_watch = PausedInputWatch(self._transport, self._on_paused_look)
 
     def _resume_reading(self) -> None:
-        if (
-            self._waits_for_memory_since is None
-            and self._write_paused_at is None
-            and len(self._pending) < MAX_PIPELINED_REQUESTS
-        ):
+        """Handle what has arrived and read on, unless something still prevents it."""
+        if self._parsing or self.closed:
+            return
+        if self._may_read and self._parser.has_input and not self._input_closed:
+            self._process_input()
+        if self._may_read:
             self._stop_paused_watch()
             self._transport.resume_reading()
 
-    def _hold_body(self, exchange: Exchange) -> None:
-        """Count the body of a complete request until it is answered."""
-        claim, self._body_claim = self._body_claim, None
-        size = len(exchange.request.body)
-        memory = self._server.memory
-        if claim is not None:
-            memory.resize(claim, size)
-            exchange.body_claim = claim
-        elif size > SMALL_BODY_BYTES:
-            exchange.body_claim = memory.hold(Held.REQUEST, size)
+    @property
+    def _may_read(self) -> bool:
+        return (
+            self._waits_for_memory_since is None
+            and self._write_paused_at is None
+            and len(self._pending) < self._max_pipelined
+        )
 
-    def _free_body(self, exchange: Exchange) -> None:
-        claim, exchange.body_claim = exchange.body_claim, None
+    def _free_claim(self, exchange: Exchange) -> None:
+        claim, exchange.claim = exchange.claim, None
         if claim is not None:
             self._server.memory.release(claim)
 
     def _drop_incomplete_body(self) -> None:
-        """Free the part of a body that has arrived, as the rest is not read."""
+        """Free the part of a request that has arrived, as the rest is not read."""
         self._parser.drop_body()  # The parser refers to itself.
+        self._parser.discard_input()
         self._waits_for_memory_since = None
-        claim, self._body_claim = self._body_claim, None
-        if claim is not None:
-            self._server.memory.release(claim)
+        self._end_incomplete()
+        self._memory.release()
 
     def _count_unwritten(self) -> None:
         """Count what the client has not taken yet."""
@@ -192,9 +222,14 @@
         memory = self._server.memory
         if claim is not None:
             memory.resize(claim, size)
-        elif size > SMALL_BODY_BYTES:
+        elif size:
             self._unwritten_claim = memory.hold(Held.ANSWER, size)
 
+    def hold_answer(self, exchange: Exchange, size: int) -> None:
+        """Count an answer that is ready, in place of its request."""
+        if exchange.claim is not None:
+            self._server.memory.resize(exchange.claim, size)
+
     # Requests and responses.
 
     def _refuses_head(self, head: Request) -> bool:
@@ -202,7 +237,7 @@
         check = self._server.head_check
         if check is None or self._input_closed:
             return False
-        exchange = Exchange(head, self, self._last_activity_at)
+        exchange = Exchange(head, self, self._loop.time())
         try:
             check(exchange)
         except Exception:
@@ -215,23 +250,29 @@
     def _handle_request(self, request: Request) -> None:
         if self._input_closed:
             return
+        now = self._loop.time()
+        is_late = self in self._server.incomplete
+        self._last_activity_at = now
         refused = bool(self._refused) and self._refused[0].request is request
         exchange = (
             self._refused.popleft()
             if refused
-            else Exchange(request, self, self._last_activity_at)
+            # The client's time runs from when it began to send.
+            else Exchange(request, self, self._began_at if is_late else now)
         )
+        self._end_incomplete()
+        self._server.idle.pop(self, None)
         self._pending.append(exchange)
-        if self._body_claim is not None or request.body:
-            self._hold_body(exchange)
         self._input_closed = not request.keep_alive
-        if len(self._pending) >= MAX_PIPELINED_REQUESTS:
-            self._pause_reading()
         if refused:
             self.flush()
             return
+        exchange.claim = self._memory.take(request)
+        handler = self._server.handler
+        if exchange.claim is None:
+            handler = self._server.on_no_memory
         try:
-            self._server.handler(exchange)
+            handler(exchange)
         except Exception:
             # A failing handler must not end the other requests of the connection.
             log.exception("handler_failed", path=request.path.decode("latin-1"))
@@ -245,7 +286,7 @@
             self._close_if_done()
             return
         self._drop_incomplete_body()
-        exchange = Exchange(Request(keep_alive=False), self, self._last_activity_at)
+        exchange = Exchange(Request(keep_alive=False), self, self._loop.time())
         self._pending.append(exchange)
         self._input_closed = True
         exchange.respond(error.status, b"", f"{error}\n".encode())
@@ -257,21 +298,22 @@
             exchange = pending.popleft()
             response = exchange._response
             assert response is not None
-            if self._server.draining and not pending and not self._parser.in_message:
+            if self._server.draining and not pending and not self._parser.has_part:
                 self._input_closed = True
             close = self._input_closed and not pending
             to_head = exchange.request.method == b"HEAD"
-            self._transport.write(render_response(*response, close, to_head))
-            self._free_body(exchange)
+            self._writer.write(*render_response(*response, close, to_head))
+            self._free_claim(exchange)
             self._last_activity_at = self._loop.time()
-            if self._unwritten_claim is not None or len(response[2]) > SMALL_BODY_BYTES:
-                self._count_unwritten()
+            self._count_unwritten()
             if close:
                 self._close_if_done()
                 return
-        if not pending and isinstance(self._paused_watch, HalfCloseWatch):
-            # An interim response may not follow the last response.
-            self._stop_paused_watch()
+        if not pending:
+            self._server.idle[self] = None
+            if isinstance(self._paused_watch, HalfCloseWatch):
+                # An interim response may not follow the last response.
+                self._stop_paused_watch()
         self._resume_reading()
 
     def _close_if_done(self) -> None:
@@ -296,8 +338,9 @@
         if self._half_close is not None:
             self._transport.close()
             return
-        self._transport.write_eof()
-        self._transport.resume_reading()
+        self._writer.write_eof()
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
 
     def write_raw(
         self, exchange: Exchange, data: bytes, close: bool, reset: bool
@@ -316,12 +359,12 @@
     @property
     def unwritten_bytes(self) -> int:
         """Return the bytes that the kernel has not taken yet."""
-        return 0 if self.closed else self._transport.get_write_buffer_size()
+        return 0 if self.closed else self._writer.unwritten_bytes
 
     def write_before(self, data: bytes) -> None:
         """Write bytes ahead of the responses that are due."""
         if not self.closed:
-            self._transport.write(data)
+            self._writer.write(data)
 
     def abort(self) -> None:
         """Close the connection with a TCP RST (SO_LINGER with timeout 0)."""
@@ -334,12 +377,14 @@
 
     def pause_writing(self) -> None:
         """Read no more while the client does not take its responses."""
+        self._writer.pause()
         self._write_paused_at = self._loop.time()
         self._pause_reading()
 
     def resume_writing(self) -> None:
         """Read on, once the client has taken its responses."""
         self._write_paused_at = None
+        self._writer.resume()
         self._count_unwritten()
         self._resume_reading()
         if self._server.closing_idle:
@@ -362,9 +407,8 @@
         return HalfCloseWatch(self._transport, policy, self._on_reset)
 
     def _on_paused_look(self, is_reset: bool, has_ended: bool) -> None:
-        client = client_while_paused(
-            is_reset, has_ended, len(self._pending), self.unwritten_bytes
-        )
+        waiting = len(self._pending) + (self._waits_for_memory_since is not None)
+        client = client_while_paused(is_reset, has_ended, waiting, self.unwritten_bytes)
         if client is PausedClient.GONE:
             self._on_reset()
         elif client is PausedClient.SENDS_NO_MORE:
@@ -389,8 +433,9 @@
             exchange.must_be_answered is not None and exchange.must_be_answered()
             for exchange in self._pending
         )
+        waiting = len(self._pending) + (self._waits_for_memory_since is not None)
         return self._server.answers_half_closed and keeps_open(
-            self._parser.http_version, len(self._pending), kept
+            self._parser.http_version, waiting, kept
         )
 
     def _on_reset(self) -> None:
@@ -405,12 +450,13 @@
         if self._half_close is not None:
             self._half_close.stop()
         self._stop_paused_watch()
-        self._server.connections.discard(self)
+        self._writer.clear()
+        self._server.forget(self)
         for exchange in self._pending:
             on_disconnect, exchange.on_disconnect = exchange.on_disconnect, None
             if on_disconnect is not None:
                 on_disconnect()
-            self._free_body(exchange)
+            self._free_claim(exchange)
         self._pending.clear()
         self._drop_incomplete_body()
         self._count_unwritten()
@@ -435,11 +481,27 @@
             return
         if self._pending:
             return
-        idle_s = now - self._last_activity_at
         limits = self._server.limits
         if self._parser.in_message:
-            if idle_s > limits.header_timeout_s:
+            if self._input_is_late(now, limits.header_timeout_s):
                 self._reject(HttpError(408, "the request is incomplete; resend it"))
-        elif idle_s > limits.idle_timeout_s or self._server.closing_idle:
+        elif (
+            now - self._last_activity_at > limits.idle_timeout_s
+            or self._server.closing_idle
+        ):
             self._last_activity_at = now
             self._linger()
+
+    def _input_is_late(self, now: float, limit_s: float) -> bool:
+        """Report whether a head is not complete in time, or a body does not go on."""
+        if not self._parser.in_body:
+            return now - self._began_at > limit_s
+        return now - self._progress_at > limit_s or now > self._body_until
+
+    def close_for_others(self) -> None:
+        """Close the connection, which is idle, to make room for others."""
+        self._transport.abort()
+
+    def refuse_incomplete(self) -> None:
+        """Refuse the incomplete request, to make room for others."""
+        self._reject(HttpError(503, "the node has no memory for it; resend it later"))
--- a/dogwooddock/http1/exchange.py
+++ b/dogwooddock/http1/exchange.py
@@ -17,6 +17,10 @@
 from ..policy.heldbytes import HeldBytes, MemoryClaim
 from .messages import Request
 
+# Longest time from the first byte of a request to its last, if its client names none.
+MAX_UPLOAD_S = 600.0
+MAX_CONNECTIONS = 4096
+
 
 @dataclass(frozen=True, slots=True)
 class ServerLimits:
@@ -25,7 +29,8 @@
     Args:
         max_header_bytes: Largest header block, in bytes.
         max_body_bytes: Largest body, in bytes.
-        header_timeout_s: Longest pause within an incomplete request, in seconds.
+        header_timeout_s: Longest time of a head, and longest pause within a body, in
+            seconds.
         idle_timeout_s: Longest pause between requests, in seconds.
     """
 
@@ -73,6 +78,18 @@
     def abort(self) -> None:
         """Close the connection with a reset."""
 
+    @abstractmethod
+    def hold_answer(self, exchange: "Exchange", size: int) -> None:
+        """Count an answer that is ready, in place of its request."""
+
+    @abstractmethod
+    def close_for_others(self) -> None:
+        """Close the connection, which is idle, to make room for others."""
+
+    @abstractmethod
+    def refuse_incomplete(self) -> None:
+        """Refuse the incomplete request, to make room for others."""
+
     @abstractmethod
     def sweep(self, now: float) -> None:
         """Apply the timeouts, and close an idle connection while draining."""
@@ -89,14 +106,14 @@
     ``on_disconnect`` is called if the client disconnects before the response.
     ``must_be_answered``, if set, tells whether the request may run and may not be
     repeated.
-    ``body_claim`` is the memory that the request's body holds, if it is counted.
+    ``claim`` is the memory that it takes, if it is counted.
     """
 
     __slots__ = (
         "_conn",
         "_response",
         "arrived_at",
-        "body_claim",
+        "claim",
         "must_be_answered",
         "on_disconnect",
         "request",
@@ -107,7 +124,7 @@
         self.arrived_at = arrived_at
         self.on_disconnect: Callable[[], None] | None = None
         self.must_be_answered: Callable[[], bool] | None = None
-        self.body_claim: MemoryClaim | None = None
+        self.claim: MemoryClaim | None = None
         self._conn = conn
         self._response: tuple[int, bytes, bytes] | None = None
 
@@ -150,6 +167,7 @@
             self._response = (status, block, body)
             # They refer to this exchange in turn.
             self.on_disconnect = self.must_be_answered = None
+            self._conn.hold_answer(self, len(block) + len(body))
             self._conn.flush()
 
     def write_raw(self, data: bytes, close: bool = False, reset: bool = False) -> None:
@@ -172,6 +190,14 @@
 Handler = Callable[[Exchange], None]
 
 
+def _refuse_for_memory(exchange: Exchange) -> None:
+    exchange.respond(503, b"", b"the node has no memory for it; resend it later\n")
+
+
+def _upload_timeout_s(head: Request) -> float:
+    return MAX_UPLOAD_S
+
+
 class ServerState:
     """What the connections of a server share.
 
@@ -181,11 +207,16 @@
         handler: Called with each exchange on the event loop; must not block.
         limits: Size limits and timeouts of connections; new ones hold from the next
             request of each connection on.
-        memory: Budget for bodies; without a limit if it is None.
+        memory: Budget for requests; without a limit if it is None.
+        max_connections: Most open connections; beyond them, the one that has no
+            request in progress for the longest time is closed.
 
     ``head_check``, if set, is called on the event loop with each request that has a
     body, before the body is received. If it answers the request, the handler is not
     called, and the body is received within the same limits and discarded.
+    ``on_no_memory`` is called in place of the handler if a request finds no memory.
+    ``body_timeout_s`` returns the longest time from the first byte of a request with
+    this head to its last, in seconds.
     ``answers_half_closed`` tells whether clients that send no more are answered; if
     not, they count as disconnected. Its handler must answer each request in time.
     """
@@ -195,13 +226,41 @@
         handler: Handler,
         limits: ServerLimits | None = None,
         memory: HeldBytes | None = None,
+        max_connections: int = MAX_CONNECTIONS,
     ):
+        self.max_connections = max_connections
         self.handler = handler
         self.memory = memory or HeldBytes()
         self.head_check: Handler | None = None
+        self.on_no_memory: Handler = _refuse_for_memory
+        self.body_timeout_s: Callable[[Request], float] = _upload_timeout_s
         self.answers_half_closed = False
         self.limits = limits or ServerLimits()
         self.connections: set[ServerConnection] = set()
+        # In the order of time: without a request in progress, and with a part of one.
+        self.idle: dict[ServerConnection, None] = {}
+        self.incomplete: dict[ServerConnection, None] = {}
         self.accepted = 0
         self.draining = False
         self.closing_idle = False
+
+    def admit(self, conn: ServerConnection) -> None:
+        """Take a new connection; close another one if there are too many."""
+        self.accepted += 1
+        self.connections.add(conn)
+        self.idle[conn] = None
+        if len(self.connections) > self.max_connections:
+            oldest = next(iter(self.idle))
+            self.forget(oldest)
+            oldest.close_for_others()
+
+    def forget(self, conn: ServerConnection) -> None:
+        """Drop a connection that ends."""
+        self.connections.discard(conn)
+        self.idle.pop(conn, None)
+        self.incomplete.pop(conn, None)
+
+    def relieve_memory(self) -> None:
+        """Refuse the oldest incomplete requests while there is no memory for heads."""
+        while self.memory.is_full and self.incomplete:
+            next(iter(self.incomplete)).refuse_incomplete()
--- a/dogwooddock/http1/messages.py
+++ b/dogwooddock/http1/messages.py
@@ -6,6 +6,7 @@
     "Response",
     "render_end_to_end_headers",
     "render_request",
+    "render_request_head",
     "render_response",
 ]
 
@@ -122,7 +123,14 @@
 
 
 def render_request(method: bytes, target: bytes, block: bytes, body: bytes) -> bytes:
-    """Render a request.
+    """Render a request, as ``render_request_head`` does, with its body."""
+    return render_request_head(method, target, block, body) + body
+
+
+def render_request_head(
+    method: bytes, target: bytes, block: bytes, body: bytes
+) -> bytes:
+    """Render the head of a request.
 
     Content-Length is left out for GET, HEAD and DELETE without a body.
 
@@ -136,14 +144,14 @@
     if body or method not in (b"GET", b"HEAD", b"DELETE"):
         length_line = b"Content-Length: %d\r\n" % len(body)
     return b"".join(
-        (method, b" ", target, b" HTTP/1.1\r\n", block, length_line, b"\r\n", body)
+        (method, b" ", target, b" HTTP/1.1\r\n", block, length_line, b"\r\n")
     )
 
 
 def render_response(
     status: int, block: bytes, body: bytes, close: bool, to_head: bool = False
-) -> bytes:
-    """Render a response.
+) -> tuple[bytes, bytes]:
+    """Render a response; return its head and its body.
 
     Args:
         status: Status code.
@@ -158,4 +166,4 @@
     last_lines = b"Connection: close\r\n\r\n" if close else b"\r\n"
     if to_head or status in BODILESS_STATUSES:
         body = b""
-    return b"".join((status_line, block, length_line, last_lines, body))
+    return b"".join((status_line, block, length_line, last_lines)), body
--- a/dogwooddock/http1/server.py
+++ b/dogwooddock/http1/server.py
@@ -5,10 +5,17 @@
 import asyncio
 import socket
 
-from ..listening import LISTEN_BACKLOG, Address, bind_socket
+from ..listening import ACCEPTED_AT_ONCE, LISTEN_BACKLOG, Address, bind_socket
 from ..policy.heldbytes import HeldBytes
 from .connection import Connection
-from .exchange import ClientState, Exchange, Handler, ServerLimits, ServerState
+from .exchange import (
+    MAX_CONNECTIONS,
+    ClientState,
+    Exchange,
+    Handler,
+    ServerLimits,
+    ServerState,
+)
 
 SWEEP_PERIOD_S = 0.5
 
@@ -21,8 +28,9 @@
         handler: Handler,
         limits: ServerLimits | None = None,
         memory: HeldBytes | None = None,
+        max_connections: int = MAX_CONNECTIONS,
     ):
-        super().__init__(handler, limits, memory)
+        super().__init__(handler, limits, memory, max_connections)
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
 
@@ -36,8 +44,9 @@
         loop = asyncio.get_running_loop()
         sock = where if isinstance(where, socket.socket) else bind_socket(where)
         self._server = await loop.create_server(
-            lambda: Connection(self), sock=sock, backlog=LISTEN_BACKLOG
+            lambda: Connection(self), sock=sock, backlog=ACCEPTED_AT_ONCE
         )
+        sock.listen(LISTEN_BACKLOG)
         self._sweeper = loop.create_task(self._sweep())
         host, port = self._server.sockets[0].getsockname()[:2]
         return host, port
--- a/dogwooddock/listening.py
+++ b/dogwooddock/listening.py
@@ -1,6 +1,7 @@
 """Listening sockets, reserved together before a node serves on any of them."""
 
 __all__ = [
+    "ACCEPTED_AT_ONCE",
     "LISTEN_BACKLOG",
     "RETRY_PERIOD_S",
     "Address",
@@ -26,6 +27,8 @@
 RETRY_PERIOD_S = 0.05
 REPORT_PERIOD_S = 10.0
 LISTEN_BACKLOG = 1024
+# Connections that a server accepts before it closes others to make room.
+ACCEPTED_AT_ONCE = 64
 # With port 0, the system may choose a TCP port whose UDP port is held.
 PORT_ATTEMPTS = 50
 WILDCARDS = frozenset({"0.0.0.0", "::"})
--- a/dogwooddock/mesh/environment.py
+++ b/dogwooddock/mesh/environment.py
@@ -59,6 +59,7 @@
         operator_listen: Address for metrics and the state dump, or None.
         chain_levels: Whether to refuse requests whose runs could not be completed.
         memory_mb: Memory that the process may use, in megabytes.
+        max_fds: Descriptors that the process may open.
     """
 
     name: str
@@ -76,3 +77,4 @@
     operator_listen: Address | None = None
     chain_levels: bool = False
     memory_mb: float = 300.0
+    max_fds: int = 4096
--- a/dogwooddock/mesh/gate.py
+++ b/dogwooddock/mesh/gate.py
@@ -20,6 +20,7 @@
 )
 from ..policy.chains import ChainAdmission
 from ..policy.headroom import HeadroomLimit
+from ..policy.heldbytes import HeldBytes
 from ..policy.levels import LEVEL_SCALE
 from ..policy.outcomes import Reason
 from ..policy.quarantine import QuarantineStatus
@@ -43,6 +44,7 @@
         marks: Requests that made targets crash.
         node_id: This node.
         chains: Decides which chains start; None to start all.
+        memory: Budget for the target's answers; None for no limit.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         marks: MarkExchange,
         node_id: int,
         chains: ChainAdmission | None = None,
+        memory: HeldBytes | None = None,
     ):
         self._loop = asyncio.get_running_loop()
         self._marks = marks
@@ -60,7 +63,7 @@
         self.chains = chains or ChainAdmission.disabled()
         self.accounts: AccountTable | None = None
         self.served = ServedTarget(
-            node_id, marks, self.admission.rate, self.refuse_waiting
+            node_id, marks, self.admission.rate, self.refuse_waiting, memory
         )
         self.connections = self.served.connections
         self.losses = self.served.losses
--- a/dogwooddock/mesh/ingress.py
+++ b/dogwooddock/mesh/ingress.py
@@ -11,6 +11,8 @@
 from random import Random
 
 from ..errors import DogwooddockError
+from ..http1.exchange import MAX_UPLOAD_S
+from ..http1.messages import Request
 from ..http1.server import Exchange
 from ..policy.accounts import ClientAccount
 from ..policy.accountshares import AccountRanks
@@ -136,6 +138,20 @@
         """Respond with an error if one is known before the body has arrived."""
         self._identify(exchange)
 
+    def upload_timeout_s(self, head: Request) -> float:
+        """Return how long a client sends a request, which waits no longer than that."""
+        try:
+            wait_s = self._wire.read_caller(head).wait_s
+        except DogwooddockError:
+            wait_s = None
+        return MAX_UPLOAD_S if wait_s is None else min(wait_s, MAX_UPLOAD_S)
+
+    def refuse_for_memory(self, exchange: Exchange) -> None:
+        """Refuse a request for which there is no memory."""
+        caller = self._identify(exchange)
+        if caller is not None:
+            self._give_up(self._create_pending(exchange, caller), Reason.MEMORY)
+
     def handle(self, exchange: Exchange) -> None:
         """Route a request and start its first attempt, or respond with an error."""
         caller = self._identify(exchange)
@@ -241,6 +257,8 @@
         )
         pending = PendingRequest(exchange, call, route, pool, now, parent)
         pending.account = account
+        # The call has the headers, in much less memory.
+        request.headers, request.fields = [], {}
         self._pending.add(pending)
         exchange.on_disconnect = lambda: self._on_disconnect(pending)
         exchange.must_be_answered = lambda: pending.may_run_once
--- a/dogwooddock/mesh/inspected.py
+++ b/dogwooddock/mesh/inspected.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 
 from ..peers.traffic import TrafficAccount
+from ..policy.descriptors import ConnectionLimits
 from ..policy.heldbytes import HeldBytes
 from .announcer import Announcer
 from .config import ConfigHolder
@@ -26,6 +27,7 @@
     config_proofs: ConfigProofs | None
     traffic: TrafficAccount
     memory: HeldBytes
+    connection_limits: ConnectionLimits
     marks: MarkExchange
     gate: Gate
     fleet: Fleet
--- a/dogwooddock/mesh/listeners.py
+++ b/dogwooddock/mesh/listeners.py
@@ -10,7 +10,7 @@
 
 from ..errors import DogwooddockError
 from ..http1.messages import Request
-from ..http1.server import Exchange, HttpServer
+from ..http1.server import Exchange, HttpServer, ServerLimits
 from ..listening import ListenSockets
 from ..policy.lifetimes import Heartbeat
 from .heartbeats import TargetMonitor
@@ -22,6 +22,8 @@
 
 ACK_POLL_PERIOD_S = 0.02
 ACK_TIMEOUT_S = 0.7
+# Probes and operators send no bodies, and heartbeats small ones.
+PORT_LIMITS = ServerLimits(max_header_bytes=16 * 1024, max_body_bytes=16 * 1024)
 
 log = structlog.get_logger()
 
@@ -53,11 +55,17 @@
         self._read_heartbeat = read_heartbeat
         self._node = node
         self._check_head = ingress.check_head
-        self.caller_server = HttpServer(ingress.handle, memory=node.memory)
+        limits = node.connection_limits
+        self.caller_server = HttpServer(
+            ingress.handle, memory=node.memory, max_connections=limits.callers
+        )
         self.caller_server.answers_half_closed = True
-        self._ready_server = HttpServer(self._on_probe)
-        self._heartbeat_server = HttpServer(self._on_heartbeat)
-        self._operator_server = HttpServer(self._on_operator)
+        self.caller_server.on_no_memory = ingress.refuse_for_memory
+        self.caller_server.body_timeout_s = ingress.upload_timeout_s
+        self._ready_server, self._heartbeat_server, self._operator_server = (
+            HttpServer(handler, PORT_LIMITS, max_connections=limits.port)
+            for handler in (self._on_probe, self._on_heartbeat, self._on_operator)
+        )
 
     async def start(self, sockets: ListenSockets) -> None:
         """Start serving; the caller port opens after heartbeats and probes."""
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -29,7 +29,8 @@
 from ..peers.linkserver import LinkServer
 from ..peers.traffic import TrafficAccount
 from ..policy.chains import ChainAdmission
-from ..policy.heldbytes import HeldBytes, budget_bytes
+from ..policy.descriptors import divide_descriptors
+from ..policy.heldbytes import HeldBytes, budget_bytes, capacity_bytes
 from ..policy.lifetimes import Heartbeat
 from ..policy.quarantine import Mark
 from ..policy.retryallowance import RetryAllowance
@@ -114,7 +115,10 @@
         self._stopping = asyncio.Event()
         self.node_id = node_id_of(env.peer_listen)
         self.traffic = TrafficAccount(env.zone)
-        self.memory = HeldBytes(budget_bytes(env.memory_mb))
+        self.memory = HeldBytes(
+            budget_bytes(env.memory_mb), capacity_bytes(env.memory_mb)
+        )
+        self.connection_limits = divide_descriptors(env.max_fds)
         self._memory_watch = MemoryWatch(self.memory)
         self.marks = MarkExchange(
             rng, self._publish_marks, lambda: self.gate.recheck_held()
@@ -126,7 +130,7 @@
         )
         room = RetryRoom(TurnedAwayShares(), self.retries.window)
         chains = ChainAdmission(room, env.chain_levels)
-        self.gate = Gate(platform.wire, self.marks, self.node_id, chains)
+        self.gate = Gate(platform.wire, self.marks, self.node_id, chains, self.memory)
         self.fleet = Fleet(
             env.peer_listen, env.zone, self.gate, self, rng, self.marks.record_loss
         )
--- a/dogwooddock/mesh/servedtarget.py
+++ b/dogwooddock/mesh/servedtarget.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+from ..policy.heldbytes import HeldBytes
 from ..policy.outcomes import Reason
 from ..policy.ratelimit import RateLimit
 from .calls import MeshCall
@@ -24,6 +25,7 @@
         marks: Requests that made targets crash.
         rate: Rate limit that admission applies.
         refuse_waiting: Called with the reason when calls can no longer be sent.
+        memory: Budget for its answers; None for no limit.
     """
 
     def __init__(
@@ -32,6 +34,7 @@
         marks: MarkExchange,
         rate: RateLimit,
         refuse_waiting: Callable[[Reason], None],
+        memory: HeldBytes | None = None,
     ):
         self._loop = asyncio.get_running_loop()
         self._refuse_waiting = refuse_waiting
@@ -39,7 +42,7 @@
         self.ended = False
         self.rate = rate
         self._rate_limit = TargetRateLimit(rate)
-        self.connections = TargetConnections()
+        self.connections = TargetConnections(memory)
         self.on_ended: Callable[[], None] = lambda: None
         self.on_leaving: Callable[[str], None] = lambda target_id: None
         self.losses = LossWatch(node_id, self.connections, self._end, marks.record_loss)
--- a/dogwooddock/mesh/targetconnections.py
+++ b/dogwooddock/mesh/targetconnections.py
@@ -8,6 +8,7 @@
 import structlog
 
 from ..http1.client import ClientConnection, ConnectionPool, ResponseMemory
+from ..policy.heldbytes import HeldBytes
 
 MAX_IDLE_IDEMPOTENT_S = 4.0
 MAX_IDLE_NON_IDEMPOTENT_S = 0.2
@@ -29,13 +30,17 @@
     The outcome of that request is then unknown: a non-idempotent one therefore reuses
     only connections that were idle for a short time, and so do all others for a while
     after such a reset, since each costs a retry.
+
+    Args:
+        budget: Budget of memory for large answers; None for no limit.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, budget: HeldBytes | None = None) -> None:
         self._loop = asyncio.get_running_loop()
         self.on_target_ended: Callable[[], None] = lambda: None
         self._pool: ConnectionPool | None = None
         self._memory = ResponseMemory(MAX_RESPONSE_BYTES)
+        self._budget = budget
         self._down_until = 0.0
         self._backoff_s = BACKOFF_FIRST_S
         self._idle_closed_at = float("-inf")
@@ -49,7 +54,7 @@
     def set_target(self, address: tuple[str, int]) -> None:
         """Close idle connections and connect to a new target from now on."""
         self.close()
-        self._pool = ConnectionPool(address, self._memory)
+        self._pool = ConnectionPool(address, self._memory, self._budget)
         self._down_until = 0.0
 
     @property
--- a/dogwooddock/mesh/targetruns.py
+++ b/dogwooddock/mesh/targetruns.py
@@ -8,7 +8,7 @@
 import structlog
 
 from ..http1.client import ClientConnection, ConnectionPool, RequestFailure
-from ..http1.messages import Response, render_request
+from ..http1.messages import Response, render_request_head
 from ..policy.admission import MIN_REMAINING_S
 from ..policy.outcomes import RETRY_INVITING_STATUSES, Outcome, Reason
 from ..policy.recentids import RecentIds
@@ -129,10 +129,11 @@
         fresh = not conn.reused
         self._running[call.request_id] = gate_call
         conn.send(
-            render_request(call.method, call.path, block, call.body),
+            render_request_head(call.method, call.path, block, call.body),
             lambda result: self._on_result(gate_call, pool, conn, result),
             lambda response: self._wire.is_response_to(call, response, fresh),
             bodiless=call.method == b"HEAD",
+            body=call.body,
         )
 
     # Results.
--- a/dogwooddock/platform/settings.py
+++ b/dogwooddock/platform/settings.py
@@ -13,6 +13,7 @@
 from ..jsontext import parse_json
 from ..listening import ListenAddress
 from ..mesh.environment import Bounds, NodeEnvironment
+from ..policy.descriptors import MIN_DESCRIPTORS
 from ..policy.heldbytes import MIN_MEMORY_MB
 from .values import FormatError, parse_address, parse_duration
 
@@ -33,6 +34,7 @@
 
 class _Limits(BaseModel):
     memory_mb: float = Field(default=256, gt=0)
+    max_fds: int = Field(default=4096, ge=MIN_DESCRIPTORS)
 
 
 class _SettingsSchema(BaseModel):
@@ -200,4 +202,5 @@
         store=parse_address(parsed.provider.address, "provider.address"),
         bounds=_parse_bounds(parsed.bounds),
         memory_mb=_check_memory(parsed.limits.memory_mb),
+        max_fds=parsed.limits.max_fds,
     )
--- a/dogwooddock/policy/heldbytes.py
+++ b/dogwooddock/policy/heldbytes.py
@@ -1,7 +1,7 @@
-"""Which bodies a node reads and asks for while its memory for them is limited.
+"""What a node reads and asks for while its memory for requests is limited.
 
-Load answered: callers that stall uploads, or that do not read large answers, in such
-number that the process would pass its memory limit.
+Load answered: callers that stall uploads, that do not read answers, or that send very
+many requests at once, in such number that the process would pass its memory limit.
 """
 
 __all__ = [
@@ -12,6 +12,8 @@
     "HeldBytes",
     "MemoryClaim",
     "budget_bytes",
+    "capacity_bytes",
+    "request_cost",
 ]
 
 from collections import Counter, deque
@@ -27,8 +29,16 @@
 # Room for the largest answer of a target.
 MIN_BUDGET_MB = 17.0
 MIN_MEMORY_MB = BASE_MB + COST_FACTOR * MIN_BUDGET_MB
-# Bodies up to this size are neither counted nor made to wait.
+# Memory taken for each byte of a body that is alone, which is copied in parts only.
+LONE_COST_FACTOR = 1.25
+# Bodies up to this size are not made to wait.
 SMALL_BODY_BYTES = 16 * 1024
+# Part of the base that small requests, calls and heads take before the budget.
+SMALL_LIMIT_BYTES = 16 * MEGABYTE
+# Objects of a request in progress.
+REQUEST_COST_BYTES = 6 * 1024
+# Copies of the head of a request in progress.
+HEAD_COPIES = 3
 # Share of the budget that requests, or answers, can use at most.
 MAX_SHARE = 0.75
 # Assumed for the answers of a route that has not been answered yet.
@@ -44,6 +54,8 @@
     CALL = "call-bodies"
     EXPECTED = "expected-answers"
     ANSWER = "unwritten-answers"
+    READING = "arriving-answers"
+    SMALL = "small-requests"
 
 
 # What competes for one share of the budget, and waits in one queue.
@@ -52,6 +64,9 @@
     Held.CALL: (Held.CALL,),
     Held.EXPECTED: (Held.EXPECTED, Held.ANSWER),
     Held.ANSWER: (Held.EXPECTED, Held.ANSWER),
+    # An answer that was asked for may not wait for others that are expected.
+    Held.READING: (Held.READING, Held.ANSWER),
+    Held.SMALL: (Held.SMALL,),
 }
 
 
@@ -60,6 +75,16 @@
     return int((memory_mb - BASE_MB) / COST_FACTOR * MEGABYTE)
 
 
+def capacity_bytes(memory_mb: float) -> int:
+    """Return the largest body that a process may hold, from its memory limit."""
+    return int((memory_mb - BASE_MB) / LONE_COST_FACTOR * MEGABYTE)
+
+
+def request_cost(head_bytes: int, body_bytes: int) -> int:
+    """Return the memory that a request in progress takes, in bytes."""
+    return REQUEST_COST_BYTES + HEAD_COPIES * head_bytes + body_bytes
+
+
 class MemoryClaim:
     """Memory that is held, or waited for, on behalf of one request or connection.
 
@@ -67,13 +92,17 @@
         kind: What it is for.
         size: Its size, in bytes.
         on_grant: Called once it is granted after a wait.
+        owned: Bytes of the same kind that its claimant holds already.
     """
 
-    __slots__ = ("granted", "kind", "on_grant", "size")
+    __slots__ = ("granted", "kind", "on_grant", "owned", "size")
 
-    def __init__(self, kind: Held, size: int, on_grant: Callable[[], None]):
+    def __init__(
+        self, kind: Held, size: int, on_grant: Callable[[], None], owned: int = 0
+    ):
         self.kind = kind
         self.size = size
+        self.owned = owned
         self.granted = False
         self.on_grant = on_grant
 
@@ -87,17 +116,28 @@
 
     Claims that do not fit wait in the order of their arrival. What waits for requests
     does not delay answers, nor the other way round, and none can use the whole
-    budget. A claim beyond its share is granted once its side holds nothing else.
+    budget. A claim beyond its share is granted once its side holds nothing else, if
+    the process can hold it. Small requests have a part of their own beside the budget.
 
     ``waits`` and ``refusals`` count the claims that waited, and those that were given
     up before they were granted or that found no room, by what they are for.
 
     Args:
         limit_bytes: The budget, in bytes; None for no limit.
+        capacity_bytes: Most that a claim beyond its share and all others may reach, in
+            bytes; None for no limit.
+        small_limit_bytes: Part of small requests, in bytes.
     """
 
-    def __init__(self, limit_bytes: int | None = None):
+    def __init__(
+        self,
+        limit_bytes: int | None = None,
+        capacity_bytes: int | None = None,
+        small_limit_bytes: int = SMALL_LIMIT_BYTES,
+    ):
         self.limit_bytes = limit_bytes
+        self._capacity_bytes = capacity_bytes
+        self._small_limit_bytes = small_limit_bytes
         self.waits: Counter[Held] = Counter()
         self.refusals: Counter[Held] = Counter()
         self._held = dict.fromkeys(Held, 0)
@@ -131,11 +171,44 @@
         self._held[kind] += size
         return claim
 
-    def ask(self, kind: Held, size: int, on_grant: Callable[[], None]) -> MemoryClaim:
-        """Claim bytes; if they are not granted at once, they wait."""
-        claim = MemoryClaim(kind, size, on_grant)
+    def hold_small(self, kind: Held, size: int) -> MemoryClaim | None:
+        """Record a small request or call; None if there is no room for it.
+
+        Args:
+            kind: Part of the budget that it takes once its own part is used up.
+            size: Its size, in bytes.
+        """
+        if self._held[Held.SMALL] + size <= self._small_limit_bytes:
+            return self.hold(Held.SMALL, size)
+        if self.has_room(kind, size):
+            return self.hold(kind, size)
+        self.refusals[kind] += 1
+        return None
+
+    @property
+    def is_crowded(self) -> bool:
+        """Report whether small requests use more than half of their part."""
+        return self._held[Held.SMALL] * 2 > self._small_limit_bytes
+
+    @property
+    def is_full(self) -> bool:
+        """Report whether small requests exceed their part."""
+        return self._held[Held.SMALL] > self._small_limit_bytes
+
+    def ask(
+        self, kind: Held, size: int, on_grant: Callable[[], None], owned: int = 0
+    ) -> MemoryClaim:
+        """Claim bytes; if they are not granted at once, they wait.
+
+        Args:
+            kind: What they are for.
+            size: Number of bytes.
+            on_grant: Called once they are granted after a wait.
+            owned: Bytes that the claimant holds already.
+        """
+        claim = MemoryClaim(kind, size, on_grant, owned)
         queue = self._queues[_RIVALS[kind]]
-        if not queue and self.has_room(kind, size):
+        if not queue and self.has_room(kind, size, owned):
             self._grant(claim)
         else:
             queue.append(claim)
@@ -167,15 +240,22 @@
         self.refusals[claim.kind] += 1
         self._grant_next()
 
-    def has_room(self, kind: Held, size: int) -> bool:
-        """Report whether a claim would be granted if no other waited."""
+    def has_room(self, kind: Held, size: int, owned: int = 0) -> bool:
+        """Report whether a claim would be granted if no other waited.
+
+        Args:
+            kind: What it is for.
+            size: Its size, in bytes.
+            owned: Bytes of this kind that the claimant holds already.
+        """
         if self.limit_bytes is None:
             return True
         own = sum(self._held[rival] for rival in _RIVALS[kind])
-        if own == 0:
-            return True
+        total = self.total_bytes - self._held[Held.SMALL] + size
+        if own == owned:
+            return self._capacity_bytes is None or total <= self._capacity_bytes
         fits_share = own + size <= self.limit_bytes * MAX_SHARE
-        return fits_share and self.total_bytes + size <= self.limit_bytes
+        return fits_share and total <= self.limit_bytes
 
     def _grant(self, claim: MemoryClaim) -> Callable[[], None]:
         """Grant a claim; return its callback, which may refer to it in turn."""
@@ -186,7 +266,7 @@
 
     def _grant_next(self) -> None:
         for queue in self._queues.values():
-            while queue and self.has_room(queue[0].kind, queue[0].size):
+            while queue and self.has_room(queue[0].kind, queue[0].size, queue[0].owned):
                 self._grant(queue.popleft())()
 
 
