Send large bodies between nodes in parts, and bound what a link holds

Seen by callers: a body of 16.4 to 64 MB never reached a target on another VM and closed the link that all calls share; one of 67 MB took its node over 300 MB; a peer's port took frames of 80 MB on each connection, and any size from a few compressed bytes.

Cause: a body travelled in one frame, copied about five times on its way; thrift's decoder refuses fields above 16.4 MB. Small calls, incomplete frames and idle links were not counted.

Change: a body above 128 KB follows its call, or its reply, in frames of 64 KB (LinkPart), written as the peer takes them and in turn with other bodies, so that it delays no other frame for long. Its memory is claimed before the first part; a call without room is refused as not run, and a refused, cancelled or late one sends no more. A probe tells that a node takes parts; a node of the release before gets bodies whole up to 16 MB and larger ones not at all. Incomplete frames and all calls are counted, deflate is undone in bounded steps, a peer that reads too slowly is disconnected, and a share of limits.max_fds bounds the links: the oldest one that has sent nothing is closed.

--- a/dogwooddock/mesh/fleet.py
+++ b/dogwooddock/mesh/fleet.py
@@ -273,6 +273,9 @@
             outbound._gate_call = self._gate.submit(call, on_reply)
             return outbound
         link = self._link(address)
+        if not link.takes_body(len(call.body)):
+            on_reply(MeshReply(Outcome.NOT_RUN, Reason.MEMORY))
+            return outbound
         outbound.link = link
         outbound._call_id = link.call(call, on_reply)
         return outbound
--- a/dogwooddock/mesh/node.py
+++ b/dogwooddock/mesh/node.py
@@ -186,7 +186,9 @@
             platform.read_heartbeat,
             self,
         )
-        self.links = LinkServer(self.gate, self, self.memory)
+        self.links = LinkServer(
+            self.gate, self, self.memory, self.connection_limits.links
+        )
         platform.store.on_new_era = self._follow_era
 
     def _create_config_proofs(self) -> ConfigProofs | None:
@@ -448,6 +450,7 @@
             self.env.zone,
             self.store_reader.store_lost,
             self.marks.quarantine.digest(),
+            takes_parts=True,
         )
 
     def _proof_probe(
--- a/dogwooddock/peers/linkcodec.py
+++ b/dogwooddock/peers/linkcodec.py
@@ -10,6 +10,7 @@
     "Frame",
     "FrameReader",
     "MarksFrame",
+    "PartFrame",
     "ProbeFrame",
     "PullFrame",
     "PushFrame",
@@ -22,7 +23,7 @@
 import math
 import struct
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import IntEnum
 from ipaddress import IPv4Address
 from typing import Any
@@ -41,7 +42,8 @@
 from .codec import from_wire_mark, to_wire_mark
 from .wire import ttypes
 
-MAX_FRAME_BYTES = 80 * 1024 * 1024
+# Of a peer that sends bodies whole; its release takes no larger ones either.
+MAX_FRAME_BYTES = 17 * 1024 * 1024
 MAX_I16 = (1 << 15) - 1
 MAX_I32 = (1 << 31) - 1
 MAX_PORT = 65535
@@ -66,6 +68,7 @@
     MARKS = 7
     QUOTA_ASK = 8
     QUOTA_GRANT = 9
+    PART = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,11 +79,13 @@
         call_id: Number of the call on this link, repeated in its reply.
         call: The call; after decoding, its deadline is a loop time of the receiver.
         config_version: Configuration version of the sender.
+        body_size: Size of its body if that follows in parts, in bytes; else 0.
     """
 
     call_id: int
     call: MeshCall
     config_version: int
+    body_size: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,11 +96,26 @@
         call_id: Number of the call on this link.
         reply: The reply.
         config_version: Configuration version of the sender.
+        body_size: Size of its body if that follows in parts, in bytes; else 0.
     """
 
     call_id: int
     reply: MeshReply
     config_version: int
+    body_size: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class PartFrame:
+    """Next part of the body of a call, or of the reply to one.
+
+    Args:
+        call_id: Number of the call on this link.
+        data: Bytes of the part.
+    """
+
+    call_id: int
+    data: bytes = field(repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,6 +145,7 @@
         config_age_s: In an answer to such a request, the time in seconds since
             ``config_version`` was last proved to be the newest; None without a proof
             and in other probes.
+        takes_parts: Whether the sender takes bodies in parts.
     """
 
     reply: bool
@@ -137,6 +158,7 @@
     marks_digest: int = 0
     asked_at_us: int | None = None
     config_age_s: float | None = None
+    takes_parts: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,6 +217,7 @@
 Frame = (
     CallFrame
     | ReplyFrame
+    | PartFrame
     | CancelFrame
     | ProbeFrame
     | PullFrame
@@ -266,7 +289,7 @@
         call.method,
         call.path,
         call.headers,
-        call.body,
+        b"" if frame.body_size else call.body,
         int((call.deadline - now) * 1000),
         call.idempotent,
         call.importance,
@@ -279,6 +302,7 @@
         int(call.rate_limit * 1000),
         call.account or None,
         int((call.objective - now) * 1000) if call.objective is not None else None,
+        frame.body_size or None,
     )
 
 
@@ -303,7 +327,7 @@
         wire.account or "",
         now + wire.objective_ms / 1000 if wire.objective_ms is not None else None,
     )
-    return CallFrame(wire.call_id, call, wire.config_version)
+    return CallFrame(wire.call_id, call, wire.config_version, wire.body_size or 0)
 
 
 def _reply_to_wire(frame: ReplyFrame, now: float) -> ttypes.LinkReply:
@@ -315,7 +339,7 @@
         reply.reason.value,
         reply.status,
         reply.headers,
-        reply.body,
+        b"" if frame.body_size else reply.body,
         reply.reached,
         ttypes.LinkLoad(
             load.limit,
@@ -331,6 +355,7 @@
         reply.below_level,
         reply.chain_level or None,
         reply.idle_close or None,
+        frame.body_size or None,
     )
 
 
@@ -357,7 +382,7 @@
         wire.chain_level or 0,
         bool(wire.idle_close),
     )
-    return ReplyFrame(wire.call_id, reply, wire.config_version)
+    return ReplyFrame(wire.call_id, reply, wire.config_version, wire.body_size or 0)
 
 
 def _probe_to_wire(frame: ProbeFrame, now: float) -> ttypes.LinkProbe:
@@ -374,6 +399,7 @@
         frame.marks_digest,
         frame.asked_at_us,
         math.ceil(age_s * 1000) if age_s is not None else None,
+        frame.takes_parts or None,
     )
 
 
@@ -391,6 +417,7 @@
         wire.marks_digest or 0,
         wire.asked_at_us,
         age_ms / 1000 if age_ms is not None else None,
+        bool(wire.takes_parts),
     )
 
 
@@ -472,6 +499,10 @@
         _FrameType.CANCEL,
         lambda frame, now: ttypes.LinkCancel(frame.call_id),
     ),
+    PartFrame: (
+        _FrameType.PART,
+        lambda frame, now: ttypes.LinkPart(frame.call_id, frame.data),
+    ),
     ProbeFrame: (_FrameType.PROBE, _probe_to_wire),
     PullFrame: (
         _FrameType.PULL,
@@ -494,6 +525,10 @@
     _FrameType.CALL: (ttypes.LinkCall, _call_from_wire),
     _FrameType.REPLY: (ttypes.LinkReply, _reply_from_wire),
     _FrameType.CANCEL: (ttypes.LinkCancel, lambda wire, now: CancelFrame(wire.call_id)),
+    _FrameType.PART: (
+        ttypes.LinkPart,
+        lambda wire, now: PartFrame(wire.call_id, wire.data),
+    ),
     _FrameType.PROBE: (ttypes.LinkProbe, _probe_from_wire),
     _FrameType.PULL: (
         ttypes.StatePull,
@@ -537,6 +572,11 @@
         self._buffer = bytearray()
         self.sizes: list[int] = []
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of the part of an incomplete frame that is held."""
+        return len(self._buffer)
+
     def feed(self, data: bytes, now: float) -> list[Frame]:
         """Return the frames that are complete with these bytes.
 
--- a/dogwooddock/peers/linkserver.py
+++ b/dogwooddock/peers/linkserver.py
@@ -5,15 +5,37 @@
 import asyncio
 import socket
 
-from ..listening import LISTEN_BACKLOG, Address, bind_socket
-from ..mesh.calls import MeshReply
+import structlog
+
+from ..listening import ACCEPTED_AT_ONCE, LISTEN_BACKLOG, Address, bind_socket
+from ..mesh.calls import MeshCall, MeshReply
 from ..mesh.gate import Gate
 from ..mesh.gatecalls import GateCall
-from ..policy.heldbytes import SMALL_BODY_BYTES, Held, HeldBytes, MemoryClaim
+from ..policy.heldbytes import (
+    SMALL_BODY_BYTES,
+    Held,
+    HeldBytes,
+    MemoryClaim,
+    request_cost,
+)
 from ..policy.outcomes import Outcome, Reason
-from .linkcodec import CallFrame, CancelFrame, Frame, ProbeFrame, ReplyFrame
+from .linkbodies import IncomingBodies
+from .linkcodec import (
+    CallFrame,
+    CancelFrame,
+    Frame,
+    PartFrame,
+    ProbeFrame,
+    ReplyFrame,
+)
 from .links import Link, LinkHandler
 
+MAX_LINKS = 1024
+# Time in which a node that has connected sends its first frame.
+FIRST_FRAME_TIMEOUT_S = 5.0
+
+log = structlog.get_logger()
+
 
 class _InboundLink:
     """Pass the calls that one other node sends to this node's gate."""
@@ -22,59 +44,97 @@
         self,
         gate: Gate,
         handler: LinkHandler,
-        links: set["_InboundLink"],
+        links: dict["_InboundLink", None],
         memory: HeldBytes,
     ):
+        self._loop = asyncio.get_running_loop()
         self._gate = gate
         self._handler = handler
         self._memory = memory
         self._claims: dict[int, MemoryClaim] = {}
         self._links = links
         self._calls: dict[int, GateCall] = {}
-        self.link = Link(self._on_frame, self._on_lost, handler.traffic)
-        links.add(self)
+        self._bodies = IncomingBodies()
+        self._timers: dict[int, asyncio.TimerHandle] = {}
+        self.link = Link(self._on_frame, self._on_lost, handler.traffic, memory)
+        links[self] = None
 
     def _on_frame(self, link: Link, frame: Frame) -> None:
         if isinstance(frame, CallFrame):
             self._handler.on_config_version(link, frame.config_version)
-            self._submit(frame)
+            self._receive(frame)
+        elif isinstance(frame, PartFrame):
+            whole = self._bodies.add(frame)
+            if isinstance(whole, CallFrame):
+                self._end_timer(whole.call_id)
+                self._submit(whole)
         elif isinstance(frame, CancelFrame):
-            call = self._calls.pop(frame.call_id, None)
-            if call is not None:
-                self._gate.cancel(call)
-                self._free(frame.call_id)
+            self._cancel(frame.call_id)
         else:
             if isinstance(frame, ProbeFrame) and not frame.reply:
                 link.send(self._handler.answer(frame))
             self._handler.on_frame(link, frame)
-
-    def _submit(self, frame: CallFrame) -> None:
-        call_id = frame.call_id
-        if not self._hold_body(call_id, len(frame.call.body)):
+            if link.congested:
+                log.warning("peer_reads_too_slowly", peer=link.peer_host)
+                link.close()
+
+    def _receive(self, frame: CallFrame) -> None:
+        """Submit a call, or wait for its body."""
+        call_id, call = frame.call_id, frame.call
+        if not self._hold(call_id, call, frame.body_size or len(call.body)):
             reply = MeshReply(Outcome.NOT_RUN, Reason.OVERLOAD)
-            reply.load = self._gate.load(frame.call.route)
+            reply.load = self._gate.load(call.route)
             version = self._handler.config_version()
             self.link.send(ReplyFrame(call_id, reply, version))
-            return
+        elif frame.body_size:
+            self._bodies.begin(frame)
+            self._timers[call_id] = self._loop.call_at(
+                call.deadline, self._cancel, call_id
+            )
+        else:
+            self._submit(frame)
+
+    def _submit(self, frame: CallFrame) -> None:
+        call_id = frame.call_id
 
         def on_reply(reply: MeshReply) -> None:
             self._calls.pop(call_id, None)
             self._free(call_id)
             version = self._handler.config_version()
-            self.link.send(ReplyFrame(call_id, reply, version))
+            self.link.send_with_body(ReplyFrame(call_id, reply, version), reply.body)
 
         call = self._gate.submit(frame.call, on_reply)
         if not call.finished:
             self._calls[call_id] = call
 
-    def _hold_body(self, call_id: int, size: int) -> bool:
-        """Count the body of a call; return whether there is room for it."""
+    def _cancel(self, call_id: int) -> None:
+        """End a call whose reply is no longer awaited."""
+        self.link.drop_body(call_id)
+        self._bodies.drop(call_id)
+        self._end_timer(call_id)
+        call = self._calls.pop(call_id, None)
+        if call is not None:
+            self._gate.cancel(call)
+        self._free(call_id)
+
+    def _end_timer(self, call_id: int) -> None:
+        timer = self._timers.pop(call_id, None)
+        if timer is not None:
+            timer.cancel()
+
+    def _hold(self, call_id: int, call: MeshCall, size: int) -> bool:
+        """Count a call; return whether there is room for it."""
+        cost = request_cost(len(call.headers) + len(call.path), size)
         if size <= SMALL_BODY_BYTES:
-            return True
-        if not self._memory.has_room(Held.CALL, size):
+            claim = self._memory.hold_small(Held.CALL, cost)
+            if claim is None:
+                return False
+        elif self._memory.has_room(Held.CALL, cost):
+            claim = self._memory.hold(Held.CALL, cost)
+        else:
             self._memory.refusals[Held.CALL] += 1
             return False
-        self._claims[call_id] = self._memory.hold(Held.CALL, size)
+        self._claims[call_id] = claim
         return True
 
     def _free(self, call_id: int) -> None:
@@ -83,45 +143,67 @@
             self._memory.release(claim)
 
     def _on_lost(self, link: Link) -> None:
-        self._links.discard(self)
+        self._links.pop(self, None)
         calls, self._calls = self._calls, {}
         for call in calls.values():
             self._gate.cancel(call)
+        self._bodies.clear()
+        for call_id in list(self._timers):
+            self._end_timer(call_id)
         for call_id in list(self._claims):
             self._free(call_id)
 
 
+def _close_if_silent(inbound: _InboundLink) -> None:
+    if not inbound.link.has_frames:
+        inbound.link.close()
+
+
 class LinkServer:
     """Accept links from other nodes.
 
     Args:
         gate: Gate that receives the calls of other nodes.
         handler: State and callbacks of this node.
-        memory: Budget for the bodies of calls; without a limit if it is None.
+        memory: Budget for calls; without a limit if it is None.
+        max_links: Most open links; beyond them, the oldest one that has sent nothing
+            yet is closed, or else the new one.
     """
 
     def __init__(
-        self, gate: Gate, handler: LinkHandler, memory: HeldBytes | None = None
+        self,
+        gate: Gate,
+        handler: LinkHandler,
+        memory: HeldBytes | None = None,
+        max_links: int = MAX_LINKS,
     ):
         self._gate = gate
         self._memory = memory or HeldBytes()
         self._handler = handler
-        self._links: set[_InboundLink] = set()
+        self._max_links = max_links
+        self._links: dict[_InboundLink, None] = {}
         self._server: asyncio.Server | None = None
 
     async def start(self, where: Address | socket.socket) -> Address:
         """Start listening on an address or a bound socket; return the address."""
         sock = where if isinstance(where, socket.socket) else bind_socket(where)
         self._server = await asyncio.get_running_loop().create_server(
-            self._create_link,
-            sock=sock,
-            backlog=LISTEN_BACKLOG,
+            self._create_link, sock=sock, backlog=ACCEPTED_AT_ONCE
         )
+        sock.listen(LISTEN_BACKLOG)
         host, port = self._server.sockets[0].getsockname()[:2]
         return host, port
 
     def _create_link(self) -> Link:
         inbound = _InboundLink(self._gate, self._handler, self._links, self._memory)
+        asyncio.get_running_loop().call_later(
+            FIRST_FRAME_TIMEOUT_S, _close_if_silent, inbound
+        )
+        if len(self._links) > self._max_links:
+            silent = (other for other in self._links if not other.link.has_frames)
+            surplus = next(silent)  # The new one at least.
+            del self._links[surplus]
+            surplus.link.close()
         return inbound.link
 
     @property
--- a/dogwooddock/peers/linkstream.py
+++ b/dogwooddock/peers/linkstream.py
@@ -4,12 +4,14 @@
 
 import zlib
 from abc import ABC, abstractmethod
+from collections.abc import Iterator
 
 from ..errors import PeerError
 
 COMPRESSION_LEVEL = 1
 WINDOW_BITS = -12  # negative: raw deflate without header and checksum
 MEMORY_LEVEL = 5
+MAX_DECODED_BYTES = 256 * 1024
 
 
 class LinkStream(ABC):
@@ -27,8 +29,8 @@
         """Return the encoded bytes."""
 
     @abstractmethod
-    def decode(self, data: bytes) -> bytes:
-        """Return the decoded bytes.
+    def decode(self, data: bytes) -> Iterator[bytes]:
+        """Yield the decoded bytes, in pieces of a bounded size.
 
         Raises:
             PeerError: The bytes are malformed; the link must be closed.
@@ -44,9 +46,9 @@
         """Return the encoded bytes."""
         return data
 
-    def decode(self, data: bytes) -> bytes:
-        """Return the decoded bytes."""
-        return data
+    def decode(self, data: bytes) -> Iterator[bytes]:
+        """Yield the bytes."""
+        yield data
 
 
 class DeflateStream(LinkStream):
@@ -70,10 +72,15 @@
             zlib.Z_SYNC_FLUSH
         )
 
-    def decode(self, data: bytes) -> bytes:
-        """Return the decoded bytes."""
+    def decode(self, data: bytes) -> Iterator[bytes]:
+        """Yield the decoded bytes, however much they were compressed."""
+        while data:
+            yield self._decompress(data)
+            data = self._decompressor.unconsumed_tail
+
+    def _decompress(self, data: bytes) -> bytes:
         try:
-            return self._decompressor.decompress(data)
+            return self._decompressor.decompress(data, MAX_DECODED_BYTES)
         except zlib.error as exc:
             raise PeerError(
                 "malformed deflate data on a link; the link is closed"
--- a/dogwooddock/peers/peer.thrift
+++ b/dogwooddock/peers/peer.thrift
@@ -162,6 +162,8 @@
   20: string account
   // Time left until the latency objective, which may have passed.
   21: i32 objective_ms
+  // Size of a body that follows in parts, instead of in this message.
+  22: i32 body_size
 }
 
 struct LinkLoad {
@@ -188,6 +190,14 @@
   10: i32 below_level
   11: i32 chain_level
   12: optional bool idle_close
+  // Size of a body that follows in parts, instead of in this message.
+  13: i32 body_size
+}
+
+// Next part of the body of a call, or of a reply to one.
+struct LinkPart {
+  1: i32 call_id
+  2: binary data
 }
 
 struct LinkCancel {
@@ -210,6 +220,8 @@
   9: i64 asked_at_us
   // Time since config_version was last proved to be the newest; only in an answer.
   10: i64 config_age_ms
+  // Whether the sender takes bodies in parts.
+  11: bool takes_parts
 }
 
 struct StatePull {
--- a/dogwooddock/peers/traffic.py
+++ b/dogwooddock/peers/traffic.py
@@ -12,6 +12,7 @@
     CancelFrame,
     Frame,
     MarksFrame,
+    PartFrame,
     ProbeFrame,
     PullFrame,
     PushFrame,
@@ -34,6 +35,7 @@
     RECORDS = 7
     MARKS = 8
     QUOTA = 9
+    BODY = 10
 
 
 class Direction(StrEnum):
@@ -47,6 +49,7 @@
     CallFrame: Purpose.CALL,
     CancelFrame: Purpose.CALL,
     ReplyFrame: Purpose.REPLY,
+    PartFrame: Purpose.BODY,
     ProbeFrame: Purpose.PROBE,
     PullFrame: Purpose.PULL,
     PushFrame: Purpose.RECORDS,
--- a/dogwooddock/peers/wire/ttypes.py
+++ b/dogwooddock/peers/wire/ttypes.py
@@ -1753,6 +1753,7 @@
      - rate_limit_per_1000_s
      - account
      - objective_ms
+     - body_size
 
     """
 
@@ -1777,10 +1778,11 @@
         'rate_limit_per_1000_s',
         'account',
         'objective_ms',
+        'body_size',
     )
 
 
-    def __init__(self, call_id=None, request_id=None, route=None, target_id=None, method=None, path=None, headers=None, body=None, remaining_ms=None, idempotent=None, importance=None, depth=None, caller=None, fingerprint=None, config_version=None, rank=None, repeat=None, rate_limit_per_1000_s=None, account=None, objective_ms=None,):
+    def __init__(self, call_id=None, request_id=None, route=None, target_id=None, method=None, path=None, headers=None, body=None, remaining_ms=None, idempotent=None, importance=None, depth=None, caller=None, fingerprint=None, config_version=None, rank=None, repeat=None, rate_limit_per_1000_s=None, account=None, objective_ms=None, body_size=None,):
         self.call_id = call_id
         self.request_id = request_id
         self.route = route
@@ -1801,6 +1803,7 @@
         self.rate_limit_per_1000_s = rate_limit_per_1000_s
         self.account = account
         self.objective_ms = objective_ms
+        self.body_size = body_size
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1911,6 +1914,11 @@
                     self.objective_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.I32:
+                    self.body_size = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2001,6 +2009,10 @@
             oprot.writeFieldBegin('objective_ms', TType.I32, 21)
             oprot.writeI32(self.objective_ms)
             oprot.writeFieldEnd()
+        if self.body_size is not None:
+            oprot.writeFieldBegin('body_size', TType.I32, 22)
+            oprot.writeI32(self.body_size)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2193,6 +2205,7 @@
      - below_level
      - chain_level
      - idle_close
+     - body_size
 
     """
 
@@ -2209,10 +2222,11 @@
         'below_level',
         'chain_level',
         'idle_close',
+        'body_size',
     )
 
 
-    def __init__(self, call_id=None, outcome=None, reason=None, status=None, headers=None, body=None, reached=None, load=None, config_version=None, below_level=None, chain_level=None, idle_close=None,):
+    def __init__(self, call_id=None, outcome=None, reason=None, status=None, headers=None, body=None, reached=None, load=None, config_version=None, below_level=None, chain_level=None, idle_close=None, body_size=None,):
         self.call_id = call_id
         self.outcome = outcome
         self.reason = reason
@@ -2225,6 +2239,7 @@
         self.below_level = below_level
         self.chain_level = chain_level
         self.idle_close = idle_close
+        self.body_size = body_size
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2296,6 +2311,11 @@
                     self.idle_close = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.body_size = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2354,6 +2374,90 @@
             oprot.writeFieldBegin('idle_close', TType.BOOL, 12)
             oprot.writeBool(self.idle_close)
             oprot.writeFieldEnd()
+        if self.body_size is not None:
+            oprot.writeFieldBegin('body_size', TType.I32, 13)
+            oprot.writeI32(self.body_size)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LinkPart(object):
+    """
+    Attributes:
+     - call_id
+     - data
+
+    """
+
+    __slots__ = (
+        'call_id',
+        'data',
+    )
+
+
+    def __init__(self, call_id=None, data=None,):
+        self.call_id = call_id
+        self.data = data
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.call_id = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.data = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LinkPart')
+        if self.call_id is not None:
+            oprot.writeFieldBegin('call_id', TType.I32, 1)
+            oprot.writeI32(self.call_id)
+            oprot.writeFieldEnd()
+        if self.data is not None:
+            oprot.writeFieldBegin('data', TType.STRING, 2)
+            oprot.writeBinary(self.data)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2460,6 +2564,7 @@
      - marks_digest
      - asked_at_us
      - config_age_ms
+     - takes_parts
 
     """
 
@@ -2474,10 +2579,11 @@
         'marks_digest',
         'asked_at_us',
         'config_age_ms',
+        'takes_parts',
     )
 
 
-    def __init__(self, reply=None, config_version=None, members_version=None, accepting=None, sender=None, zone=None, store_lost=None, marks_digest=None, asked_at_us=None, config_age_ms=None,):
+    def __init__(self, reply=None, config_version=None, members_version=None, accepting=None, sender=None, zone=None, store_lost=None, marks_digest=None, asked_at_us=None, config_age_ms=None, takes_parts=None,):
         self.reply = reply
         self.config_version = config_version
         self.members_version = members_version
@@ -2488,6 +2594,7 @@
         self.marks_digest = marks_digest
         self.asked_at_us = asked_at_us
         self.config_age_ms = config_age_ms
+        self.takes_parts = takes_parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2549,6 +2656,11 @@
                     self.config_age_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.takes_parts = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2599,6 +2711,10 @@
             oprot.writeFieldBegin('config_age_ms', TType.I64, 10)
             oprot.writeI64(self.config_age_ms)
             oprot.writeFieldEnd()
+        if self.takes_parts is not None:
+            oprot.writeFieldBegin('takes_parts', TType.BOOL, 11)
+            oprot.writeBool(self.takes_parts)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3352,6 +3468,7 @@
     (19, TType.I32, 'rate_limit_per_1000_s', None, None, ),  # 19
     (20, TType.STRING, 'account', 'UTF8', None, ),  # 20
     (21, TType.I32, 'objective_ms', None, None, ),  # 21
+    (22, TType.I32, 'body_size', None, None, ),  # 22
 )
 all_structs.append(LinkLoad)
 LinkLoad.thrift_spec = (
@@ -3380,6 +3497,13 @@
     (10, TType.I32, 'below_level', None, None, ),  # 10
     (11, TType.I32, 'chain_level', None, None, ),  # 11
     (12, TType.BOOL, 'idle_close', None, None, ),  # 12
+    (13, TType.I32, 'body_size', None, None, ),  # 13
+)
+all_structs.append(LinkPart)
+LinkPart.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'call_id', None, None, ),  # 1
+    (2, TType.STRING, 'data', 'BINARY', None, ),  # 2
 )
 all_structs.append(LinkCancel)
 LinkCancel.thrift_spec = (
@@ -3399,6 +3523,7 @@
     (8, TType.I64, 'marks_digest', None, None, ),  # 8
     (9, TType.I64, 'asked_at_us', None, None, ),  # 9
     (10, TType.I64, 'config_age_ms', None, None, ),  # 10
+    (11, TType.BOOL, 'takes_parts', None, None, ),  # 11
 )
 all_structs.append(StatePull)
 StatePull.thrift_spec = (
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -426,7 +426,7 @@
     sender, receiver = stream_type(), stream_from_preface(stream_type.preface)
     for number in range(50):
         data = b"frame %d " % number * number
-        assert receiver.decode(sender.encode(data)) == data
+        assert b"".join(receiver.decode(sender.encode(data))) == data
 
 
 @pytest.mark.parametrize("entry", [0, 1])
