Bound what clients send and hold at dogwooddock node

Seen by callers: on the own interface a header line, a target, a chunk extension or a trailer without end was gathered whole on each port, 100 uploads of 4 MB took 384 MB where a node may use 256, and idle connections held its threads or thousands of descriptors.

Cause: the library has no limit unless one is set, gives each new connection a thread, and times single reads only. Bodies and thrift frames had no sum.

A peer's connection that has sent no call yet makes room for others.

--- a/dogwooddock/callers/server.py
+++ b/dogwooddock/callers/server.py
@@ -2,8 +2,8 @@
 
 __all__ = ["CallerServer", "ServerLimits"]
 
-import select
 import socket
+import sys
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -14,6 +14,8 @@
 from cheroot import errors as cheroot_errors
 from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
 
+from ..boundedserver import BoundedConnection, BoundedServer
+from ..bytebudget import ByteBudget
 from ..errors import InvalidRequest
 from ..headers import (
     CALLER,
@@ -25,21 +27,24 @@
     end_to_end_headers,
     trace_id_of,
 )
-from ..listening import LISTEN_BACKLOG
+from ..http1.bodybuffer import BodyBuffer
 from ..policy.endofinput import on_end_of_input
 from ..policy.outcomes import Outcome, Reason
-from ..reservedsocket import ReservedSocketServer
 from .api import API_PREFIX, NodeApi, TargetControl
 from .disconnects import DisconnectWatcher
 from .ingress import Ingress
 from .messages import CallerReply, CallerRequest, problem_reply
 from .requesttarget import parse_request_target
-from .streams import ConnectionReader, ConnectionWriter
 
 KEEP_ALIVE_WAIT_S = 0.25
 STOP_TIMEOUT_S = 1
 KEEP_ALIVE_THREAD_SHARE = 0.5
 READ_CHUNK_BYTES = 64 * 1024
+# Longest time of a body, and longest wait of a request for memory for its body.
+BODY_TIMEOUT_S = 600.0
+MEMORY_WAIT_S = 2.0
+# A body of unknown length claims memory in steps of this size.
+CLAIM_BYTES = 512 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,11 +55,44 @@
         threads: Number of threads, each serving one request at a time.
         max_body_bytes: Largest accepted request body.
         idle_timeout_s: Longest time without data from a client, in seconds.
+        max_connections: Most open connections.
     """
 
     threads: int
     max_body_bytes: int
     idle_timeout_s: float
+    max_connections: int = 4096
+
+
+class _NoMemory(Exception):
+    """There is no memory for a body now."""
+
+
+class _Body:
+    """A body that is read in full while its bytes fit into a budget."""
+
+    def __init__(self, budget: ByteBudget):
+        self._budget = budget
+        self._claimed = 0
+        self.buffer = BodyBuffer()
+
+    def claim(self, size: int) -> None:
+        """Hold memory for a body of this size in all.
+
+        Raises:
+            _NoMemory: There is none in time.
+        """
+        more = size - self._claimed
+        if more <= 0:
+            return
+        if not self._budget.acquire(more, MEMORY_WAIT_S, self._claimed):
+            raise _NoMemory
+        self._claimed = size
+
+    def release(self) -> None:
+        """Hold no memory any more."""
+        self._budget.release(self._claimed)
+        self._claimed = 0
 
 
 class _Request(HTTPRequest):
@@ -91,21 +129,14 @@
                 raise
 
 
-class _Server(ReservedSocketServer):
+class _Server(BoundedServer):
     caller_server: "CallerServer"
 
 
-class _Connection(HTTPConnection):
+class _Connection(BoundedConnection):
     RequestHandlerClass = _Request
     server: "_Server"
 
-    def __init__(self, server: HTTPServer, sock: socket.socket, *rest: Any):
-        super().__init__(server, sock, *rest)
-        self.rfile = ConnectionReader(sock)
-        self.wfile = ConnectionWriter(sock)
-        self._poll = select.poll()
-        self._poll.register(sock, select.POLLIN)
-
     def communicate(self) -> bool:
         """Serve requests while the next one arrives within ``KEEP_ALIVE_WAIT_S``."""
         while super().communicate():
@@ -117,7 +148,7 @@
         if self.rfile.has_data():
             return True
         with self.server.caller_server.keep_alive_wait() as allowed:
-            return allowed and bool(self._poll.poll(KEEP_ALIVE_WAIT_S * 1000))
+            return allowed and bool(self.poll.poll(KEEP_ALIVE_WAIT_S * 1000))
 
 
 class _Gateway(Gateway):
@@ -128,8 +159,22 @@
 
     def _respond(self) -> None:
         server = self.req.server.caller_server
+        body = _Body(server.budget)
         try:
-            reply = server.dispatch(self.req)
+            self._write(self._reply(body))
+        finally:
+            body.release()
+
+    def _reply(self, body: _Body) -> CallerReply:
+        """Return the reply to a request, whose body is read first."""
+        server = self.req.server.caller_server
+        try:
+            reply = server.dispatch(self.req, body)
+        except _NoMemory:
+            self.req.close_connection = True
+            reply = problem_reply(
+                Outcome.NOT_RUN, Reason.OVERLOAD, server.ingress.deps.rng
+            )
         except (InvalidRequest, ValueError, cheroot_errors.MaxSizeExceeded) as exc:
             too_large = isinstance(exc, cheroot_errors.MaxSizeExceeded)
             reason = Reason.TOO_LARGE if too_large else Reason.MALFORMED
@@ -142,7 +187,7 @@
             )
         if server.closing:
             self.req.close_connection = True
-        self._write(reply)
+        return reply
 
     def _write(self, reply: CallerReply) -> None:
         req = self.req
@@ -177,6 +222,7 @@
         pool_name: For the local target's server, returns the name of its pool.
         target_control: For the local target's server, handles the target's
             announcements.
+        budget: Budget for bodies; without a limit if it is None.
     """
 
     def __init__(
@@ -187,8 +233,10 @@
         watcher: DisconnectWatcher,
         pool_name: Callable[[], str] | None = None,
         target_control: TargetControl | None = None,
+        budget: ByteBudget | None = None,
     ):
         self.ingress = ingress
+        self.budget = budget or ByteBudget(sys.maxsize)
         self._watcher = watcher
         self._pool_name = pool_name
         self._api = NodeApi(ingress, target_control)
@@ -204,8 +252,8 @@
         self._server.ConnectionClass = _Connection
         self._server.max_request_body_size = limits.max_body_bytes
         self._server.timeout = limits.idle_timeout_s  # type: ignore[assignment]
-        self._server.request_queue_size = LISTEN_BACKLOG
-        self._server.keep_alive_conn_limit = 4096
+        self._server.max_connections = limits.max_connections
+        self._server.keep_alive_conn_limit = limits.max_connections
         self._server.nodelay = True
         self._server.prepare()
         self.address: tuple[str, int] = self._server.bind_addr[:2]
@@ -273,13 +321,18 @@
 
     # Requests.
 
-    def dispatch(self, req: HTTPRequest) -> CallerReply:
-        """Serve one HTTP request and return the reply."""
+    def dispatch(self, req: HTTPRequest, body_memory: _Body) -> CallerReply:
+        """Serve one HTTP request and return the reply.
+
+        Args:
+            req: The request; its body is read.
+            body_memory: Holds the body.
+        """
         headers = {
             name.decode("latin-1"): value.decode("latin-1")
             for name, value in req.inheaders.items()
         }
-        body = self._read_body(req)
+        body = self._read_body(req, body_memory)
         target = parse_request_target(req.uri.decode("latin-1"))
         path = target.path
         if target.host:
@@ -333,20 +386,24 @@
             return f"pool:{self._pool_name()}"
         return headers.get(CALLER, "")
 
-    def _read_body(self, req: HTTPRequest) -> bytes:
+    def _read_body(self, req: HTTPRequest, body: _Body) -> bytes:
         declared = req.inheaders.get(b"Content-Length")
         if declared is None and not req.chunked_read:
             return b""
-        chunks = []
-        size = 0
+        if declared is not None:
+            body.claim(int(declared))
+        buffer = body.buffer
+        req.conn.rfile.limit_time(BODY_TIMEOUT_S)
         while chunk := req.rfile.read(READ_CHUNK_BYTES):
-            size += len(chunk)
-            if size > self._limits.max_body_bytes:
+            if buffer.size + len(chunk) > self._limits.max_body_bytes:
                 raise cheroot_errors.MaxSizeExceeded
-            chunks.append(chunk)
-        if declared is not None and size < int(declared):
+            buffer.add(chunk)
+            if declared is None:
+                body.claim(-(-buffer.size // CLAIM_BYTES) * CLAIM_BYTES)
+        req.conn.rfile.limit_time(None)
+        if declared is not None and buffer.size < int(declared):
             raise InvalidRequest("the body is shorter than Content-Length")
-        return b"".join(chunks)
+        return buffer.take()
 
 
 def _timeout_ms(headers: dict[str, str]) -> int:
--- a/dogwooddock/node.py
+++ b/dogwooddock/node.py
@@ -10,6 +10,7 @@
 
 import structlog
 
+from .bytebudget import ByteBudget, body_budget_bytes
 from .callers.dependencies import IngressDependencies
 from .callers.disconnects import DisconnectWatcher
 from .callers.ingress import Ingress
@@ -229,13 +230,26 @@
             self.members.all,
             self._on_mark,
         )
-        self.peer_server = PeerServer(self._sockets.take("peer"), handler)
+        self.body_budget = ByteBudget(body_budget_bytes(settings.memory_mb))
+        self.peer_server = PeerServer(
+            self._sockets.take("peer"),
+            handler,
+            self.body_budget,
+            settings.max_connections,
+        )
         limits = ServerLimits(
-            settings.threads, settings.max_body_bytes, settings.idle_timeout_s
+            settings.threads,
+            settings.max_body_bytes,
+            settings.idle_timeout_s,
+            settings.max_connections,
         )
         self.watcher = DisconnectWatcher()
         self.router_server = CallerServer(
-            self._sockets.take("router"), self.ingress, limits, self.watcher
+            self._sockets.take("router"),
+            self.ingress,
+            limits,
+            self.watcher,
+            budget=self.body_budget,
         )
         self.local_server = CallerServer(
             self._sockets.take("local"),
@@ -244,6 +258,7 @@
             self.watcher,
             pool_name=lambda: self.local_target.pool_name,
             target_control=self.local_target.control,
+            budget=self.body_budget,
         )
         self.admin = AdminServer(self._sockets.take("admin"), self)
 
--- a/dogwooddock/operators/admin.py
+++ b/dogwooddock/operators/admin.py
@@ -11,17 +11,18 @@
 
 from cheroot.wsgi import Server
 
-from ..reservedsocket import ReservedSocketServer
+from ..boundedserver import BoundedServer
 from .metrics import render_metrics
 from .nodestate import InspectedNode
 from .state import dump_state
 
 ADMIN_THREADS = 4
+MAX_BODY_BYTES = 16 * 1024
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
 
-class _Server(ReservedSocketServer, Server):
+class _Server(BoundedServer, Server):
     """Server of the library for an application, on a reserved socket."""
 
 
@@ -36,6 +37,7 @@
     def __init__(self, sock: socket.socket, node: InspectedNode):
         self._node = node
         self._server = _Server(sock, self._application, numthreads=ADMIN_THREADS)
+        self._server.max_request_body_size = MAX_BODY_BYTES
         self._server.prepare()
         self.address: tuple[str, int] = self._server.bind_addr[:2]
 
--- a/dogwooddock/operators/cli.py
+++ b/dogwooddock/operators/cli.py
@@ -92,6 +92,13 @@
         float,
         _setting_option("idle_timeout_s", "Longest silence of a sender, seconds."),
     ] = 10.0,
+    max_connections: Annotated[
+        int,
+        _setting_option("max_connections", "Open connections of a port at most."),
+    ] = 4096,
+    memory_mb: Annotated[
+        float, _setting_option("memory_mb", "Memory of the process, megabytes.")
+    ] = 256.0,
     drain_timeout_s: Annotated[
         float, _setting_option("drain_timeout_s", "Longest planned stop, seconds.")
     ] = 30.0,
--- a/dogwooddock/peers/server.py
+++ b/dogwooddock/peers/server.py
@@ -6,16 +6,20 @@
 import threading
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import structlog
 from thrift.Thrift import TException
 from thrift.transport.TSocket import TSocket
 
+from ..bytebudget import ByteBudget
 from .transport import make_protocol
 from .wire import Peer
 
 MAX_CONNECTIONS = 2048
+# Longest pause within a large frame.
+FRAME_TIMEOUT_S = 5.0
 
 log = structlog.get_logger()
 
@@ -45,15 +49,29 @@
 class PeerServer:
     """Serve the thrift service ``Peer`` with one thread per open connection.
 
+    Beyond the limit of connections, the oldest one that has sent no whole call yet is
+    closed, or else the new one.
+
     Args:
         listener: Listening socket.
         handler: Object with the methods of the thrift service.
+        budget: Budget for large frames; None for no limit.
+        max_connections: Most open connections.
     """
 
-    def __init__(self, listener: socket.socket, handler: Any):
+    def __init__(
+        self,
+        listener: socket.socket,
+        handler: Any,
+        budget: ByteBudget | None = None,
+        max_connections: int = MAX_CONNECTIONS,
+    ):
+        self._budget = budget
+        self._max_connections = min(max_connections, MAX_CONNECTIONS)
         self._processor = Peer.Processor(handler)
         self._listener = listener
-        self._connections: set[socket.socket] = set()
+        # Whether each connection has sent a whole call, in the order of their age.
+        self._connections: dict[socket.socket, bool] = {}
         self._busy_connections = 0
         self._lock = threading.Lock()
         self._stopping = False
@@ -68,34 +86,55 @@
                 conn, _ = self._listener.accept()
             except OSError:
                 return
-            if len(self._connections) >= MAX_CONNECTIONS:
-                log.warning("peer_connection_refused", remedy="raise MAX_CONNECTIONS")
+            if not self._has_room():
+                log.warning("peer_connection_refused", remedy="raise --max-connections")
                 conn.close()
                 continue
             conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             with self._lock:
-                self._connections.add(conn)
+                self._connections[conn] = False
             thread = threading.Thread(target=self._serve, args=(conn,), daemon=True)
             thread.start()
 
+    def _has_room(self) -> bool:
+        """Report whether a connection can be taken; close the oldest silent one."""
+        with self._lock:
+            if len(self._connections) < self._max_connections:
+                return True
+            silent = (conn for conn, sent in self._connections.items() if not sent)
+            oldest = next(silent, None)
+            if oldest is None:
+                return False
+            del self._connections[oldest]
+        _shut_down(oldest)
+        return True
+
+    def _record_call(self, conn: socket.socket) -> None:
+        with self._lock:
+            if conn in self._connections:
+                self._connections[conn] = True
+
     def _serve(self, conn: socket.socket) -> None:
         thrift_socket = TSocket()
         thrift_socket.setHandle(conn)
         busy = _BusyTracker(self._change_busy)
-        protocol = make_protocol(thrift_socket, busy.begin)
+        protocol = make_protocol(thrift_socket, busy.begin, self._budget)
+        protocol.trans.on_large_frame = partial(_limit_time, thrift_socket)
         try:
             while not self._stopping:
                 try:
                     self._processor.process(protocol, protocol)
+                    self._record_call(conn)
                 finally:
                     busy.end()
+                    protocol.trans.release()
         except (TException, OSError, EOFError):
             pass
         except Exception as exc:
             log.warning("peer_connection_dropped", error=type(exc).__name__)
         finally:
             with self._lock:
-                self._connections.discard(conn)
+                self._connections.pop(conn, None)
             thrift_socket.close()
 
     def _change_busy(self, change: int) -> None:
@@ -121,6 +160,11 @@
             _shut_down(conn)
 
 
+def _limit_time(thrift_socket: TSocket, begins: bool) -> None:
+    """Let a large frame arrive without long pauses, but not the next frame."""
+    thrift_socket.setTimeout(FRAME_TIMEOUT_S * 1000 if begins else None)
+
+
 def _shut_down(sock: socket.socket) -> None:
     """End the calls that block on a socket in other threads."""
     try:
--- a/dogwooddock/settings.py
+++ b/dogwooddock/settings.py
@@ -44,6 +44,8 @@
     threads: int = Field(default=128, ge=4, le=4096)
     max_body_bytes: int = Field(default=8 * 1024 * 1024, ge=1024)
     idle_timeout_s: float = Field(default=10.0, gt=0, le=600)
+    max_connections: int = Field(default=4096, ge=16, le=100_000)
+    memory_mb: float = Field(default=256, ge=160)
     drain_timeout_s: float = Field(default=30.0, ge=0, le=3600)
     poll_period_s: float = Field(default=1.0, gt=0, le=60)
     limit_mode: str = Field(default="adaptive", pattern="^(adaptive|static)$")
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -216,6 +216,8 @@
     str(4 * MEBIBYTE),
     "--idle-timeout-s",
     "1",
+    "--max-connections",
+    "400",
 )
 OWN_HEAD = b"GET /odd/x HTTP/1.1\r\nHost: app.example\r\n"
 OWN_POST = OWN_HEAD.replace(b"GET", b"POST")
@@ -266,8 +268,8 @@
 }
 
 
-async def _meet_own(crowd):
-    with own_interface_node(*OWN_SETTINGS) as node:
+async def _meet_own(crowd, settings=OWN_SETTINGS):
+    with own_interface_node(*settings) as node:
         async with gathered(crowd, node):
             node.check(OWN_MEMORY_MB, OWN_MAX_FDS)
             for port, path in (("admin-listen", b"/state"), ("router-listen", b"/x")):
@@ -281,3 +283,9 @@
 @pytest.mark.parametrize("name", OWN_CROWDS)
 def test_node_of_the_own_interface_survives_a_crowd(name):
     asyncio.run(_meet_own(OWN_CROWDS[name]))
+
+
+def test_node_of_the_own_interface_survives_many_uploads_at_once():
+    upload = OWN_POST + b"Content-Length: 4194304\r\n\r\n"
+    crowd = Crowd(upload, b"b" * BLOCK, 4 * MEBIBYTE - BLOCK, 100, "router-listen")
+    asyncio.run(_meet_own(crowd, ("--idle-timeout-s", "1")))
