Refuse answers whose status is none of HTTP

Seen by callers (MIXED): a server's answer with status 600 or 999 came out as an answer, with its stamp; on the own interface one with 0200 came out as 200. 000 and 099 did not, but were taken for interim ones, so that the client got 504 at its deadline.

Cause: both parsers take any number for a status.

Change: a status that is not of three digits, from 100 to 599, makes the answer malformed: the client gets 502, or the answer of a resend, as after other bytes that are no response.

--- a/dogwooddock/http1/parsers.py
+++ b/dogwooddock/http1/parsers.py
@@ -13,6 +13,8 @@
 
 UNREPEATABLE_HEADERS = frozenset({b"host", b"content-length", b"transfer-encoding"})
 MAX_INTERIM_RESPONSES = 16
+MIN_STATUS = 100
+MAX_STATUS = 599
 LINE_END = b"\r\n"
 EMPTY_LINE = b"\r\n\r\n"
 
@@ -454,6 +456,9 @@
     def on_headers_complete(self) -> None:
         """Record that the body follows, or complete a response without one."""
         super().on_headers_complete()
+        status = self._parser.get_status_code()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            raise HttpError(502, f"the status {status:03} is none of HTTP")
         if self.bodiless and self._parser.get_status_code() >= 200:
             self.in_message = False
             self._completed.append(self._build_response(keep_alive=False))
--- a/dogwooddock/targets/responsehead.py
+++ b/dogwooddock/targets/responsehead.py
@@ -7,6 +7,9 @@
 
 LINE_ENDS = (b"\r\n", b"\n")
 MAX_INTERIM_RESPONSES = 10
+STATUS_DIGITS = 3
+MIN_STATUS = 100
+MAX_STATUS = 599
 
 
 class _LastLine:
@@ -49,6 +52,18 @@
             self.headers = self.msg = cast(Any, None)
         raise ConnectionError("the interim responses do not end")
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Read the status line.
+
+        Raises:
+            BadStatusLine: Its status is none of HTTP.
+        """
+        version, status, reason = super()._read_status()  # type: ignore[misc]
+        digits = self.fp.line.split(None, 2)[1]  # type: ignore[attr-defined]
+        if len(digits) != STATUS_DIGITS or not MIN_STATUS <= status <= MAX_STATUS:
+            raise http.client.BadStatusLine(str(status))
+        return version, status, reason
+
     def _read_head(self) -> None:
         file = self.fp
         lines = _LastLine(file)
