Refuse the calls that wait for a target that leaves while its node stops

Cause: TargetMonitor withdrew the target only while the gate took calls; a gate that stops takes none, but its queue is still worked off.

Change: the target is withdrawn whenever the gate still serves it; this refuses what waits, not run.

Result: the new test of tests/test_mesh_stop.py failed before (a call ran behind the acknowledgement) and passes, with the other 17.

--- a/dogwooddock/mesh/heartbeats.py
+++ b/dogwooddock/mesh/heartbeats.py
@@ -194,7 +194,7 @@
 
     def _apply(self, current: Heartbeat) -> None:
         if current.state is not TargetState.READY:
-            if self._gate.accepting:
+            if self._gate.served.usable:
                 self._gate.refuse_all()
             self._publish_record(current)
         elif self._healthy_lifetime == current.lifetime:
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -294,3 +294,31 @@
             assert (await asking).status == 200
 
     run(scenario())
+
+
+def test_waiting_calls_do_not_reach_a_target_that_leaves_while_its_node_stops():
+    """Guards against calls that reach a target after its drain was acknowledged."""
+
+    async def scenario():
+        async with running_fleet("shop", bounds=BOUNDS) as fleet:
+            (vm,) = fleet.vms
+            vm.target.mode = TargetMode(work_s=0.25)
+            loop, results = asyncio.get_running_loop(), {}
+            vm.target.slots = 1
+            await vm.target.send_heartbeat()
+            stopping, asking = asyncio.create_task(vm.node.stop()), []
+            while not vm.node.gate.stopping:
+                ask = _ask(vm, "/order/1", f"r-{len(asking)}", 6000, results)
+                asking.append(asyncio.create_task(ask))
+                await asyncio.sleep(PERIOD_S)
+            assert vm.node.gate.admission.queued
+            assert await vm.target.send_heartbeat("draining") == 200
+            acknowledged_at, ran_before = loop.time(), len(fleet.runs)
+            await asyncio.gather(*asking)
+            await stopping
+            assert loop.time() - acknowledged_at < GRACE_S
+            return len(fleet.runs) - ran_before, results
+
+    late, results = run(scenario())
+    assert late == 0
+    assert {answer.status for _, answer in results.values()} <= {200, 503}
