End a connection alone if its end or its timeouts fail

Cause: write_eof raises on a connection that was reset, and nothing stood between one connection and the loop over all.

Change: an exception at a connection's timeouts or end is logged and resets this one.

--- a/dogwooddock/http1/server.py
+++ b/dogwooddock/http1/server.py
@@ -5,6 +5,8 @@
 import asyncio
 import socket
 
+import structlog
+
 from ..listening import ACCEPTED_AT_ONCE, LISTEN_BACKLOG, Address, bind_socket
 from ..policy.heldbytes import HeldBytes
 from .connection import Connection
@@ -19,6 +21,8 @@
 
 SWEEP_PERIOD_S = 0.5
 
+log = structlog.get_logger()
+
 
 class HttpServer(ServerState):
     """Listen on an address and pass complete requests to a handler."""
@@ -55,16 +59,22 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(SWEEP_PERIOD_S)
-            for conn in list(self.connections):
-                conn.sweep(loop.time())
+            self._sweep_all(loop.time())
+
+    def _sweep_all(self, now: float) -> None:
+        """Apply the timeouts; a connection that fails at this ends alone."""
+        for conn in list(self.connections):
+            try:
+                conn.sweep(now)
+            except Exception:
+                log.exception("sweep_failed", peer=conn.peer_host)
+                conn.abort()
 
     def close_idle(self) -> None:
         """Close idle connections now, and the others when they become idle."""
         self.draining = True
         self.closing_idle = True
-        now = asyncio.get_running_loop().time()
-        for conn in list(self.connections):
-            conn.sweep(now)
+        self._sweep_all(asyncio.get_running_loop().time())
 
     def stop_listening(self) -> None:
         """Stop accepting connections; those that are open stay open."""
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -308,3 +308,30 @@
             assert len(server.handled) == statuses.count(200)
 
     run(scenario())
+
+
+@pytest.mark.parametrize("error", [OSError(107, "not connected"), ValueError("fault")])
+def test_connection_that_fails_at_its_end_does_not_keep_others_open(error):
+    """Guards against timeouts, and a stop, that end with one connection's exception."""
+
+    def fail(*args):
+        raise error
+
+    async def scenario():
+        async with Server() as server:
+            http = server._http
+            await server.send(GET)
+            assert await server.response() == (200, b"ok", False)
+            (broken,) = http.connections
+            broken._transport.write_eof = broken.sweep = fail
+            address = broken._transport.get_extra_info("sockname")
+            reader, writer = await asyncio.open_connection(*address)
+            await asyncio.sleep(0.1)
+            http.close_idle()
+            assert await asyncio.wait_for(reader.read(1), 2.0) == b""
+            writer.close()
+            await asyncio.sleep(1.2)
+            assert not http.connections
+            assert not http._sweeper.done()
+
+    run(scenario())
