Bound the exponent of a target's ejection

Change: ejections in a row are counted up to 16, far beyond the longest ejection.

Result: the new test of 5,000 failures failed before (OverflowError) and passes.

--- a/dogwooddock/policy/selection.py
+++ b/dogwooddock/policy/selection.py
@@ -28,6 +28,8 @@
 FAILURES_TO_EJECT = 3
 EJECT_BASE_S = 1.0
 EJECT_MAX_S = 20.0
+# Ejections in a row that are told apart; longer ones last EJECT_MAX_S anyway.
+MAX_EJECTIONS = 16
 RECOVERY_S = 2.0
 MAX_LOAD_AGE_S = 2.0
 
@@ -388,7 +390,7 @@
         candidate.consecutive_failures = 0
         duration = EJECT_BASE_S * 2.0**candidate.ejections
         self.eject(candidate, now + min(EJECT_MAX_S, duration))
-        candidate.ejections += 1
+        candidate.ejections = min(candidate.ejections + 1, MAX_EJECTIONS)
 
     def eject(self, candidate: Candidate, until: float) -> None:
         """Leave a target out until a monotonic time, in seconds."""
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -74,3 +74,14 @@
     targets, objective_s, node, least, most
 ):
     assert least <= simulate(targets, objective_s)[node] <= most
+
+
+def test_target_may_fail_without_end():
+    """Guards against an exponent of the ejection that grows with each failure."""
+    selector = Selector("a")
+    selector.sync("p", [(1, "a"), (2, "a")])
+    candidate = selector.find("p", 1)
+    for number in range(5000):
+        selector.record_sent(candidate)
+        selector.record_reply(candidate, 1.0 + number, None, LIMIT, 0, False, True)
+    assert candidate.ejected_until > 5000
