Go on with later versions after a callback of one fails

Cause: the version was put in force inside an except clause, so that the clauses beside it did not catch what its callbacks raise.

Result: the new test failed before (ValueError) and passes.

--- a/dogwooddock/mesh/config.py
+++ b/dogwooddock/mesh/config.py
@@ -133,18 +133,22 @@
         """Run the steps of one turn; return whether the document was decided on."""
         source = decoding.offer.source
         try:
-            for _ in range(STEPS_PER_TURN):
-                next(decoding.steps)
-        except StopIteration as stop:
-            self._activate_if_newer(stop.value, source)
+            return self._run_steps(decoding)
         except DogwooddockError as exc:
             log.error("config_refused", source=source, error=str(exc))
         except Exception:
             log.exception("config_refused", source=source)
-        else:
-            return False
         return True
 
+    def _run_steps(self, decoding: _Decoding) -> bool:
+        try:
+            for _ in range(STEPS_PER_TURN):
+                next(decoding.steps)
+        except StopIteration as stop:
+            self._activate_if_newer(stop.value, decoding.offer.source)
+            return True
+        return False
+
     def _activate_if_newer(self, state: DesiredState, source: str) -> bool:
         if self.table is not None and state.version <= self.version:
             return False
--- a/tests/test_large_configurations.py
+++ b/tests/test_large_configurations.py
@@ -228,3 +228,22 @@
     at = data.draw(st.integers(0, len(text)))
     _assert_same((text[:at] + data.draw(st.sampled_from('",:[]{} 1'))).encode())
     _assert_same((text[:at] + data.draw(st.text()) + text[at + 1 :]).encode())
+
+
+def test_version_follows_one_whose_callback_failed():
+    """Guards against a holder that decodes no further version."""
+    states = []
+
+    def on_change(state):
+        states.append(state.version)
+        if state.version == 1:
+            raise ValueError("fault of a callback")
+
+    async def scenario():
+        holder = config.ConfigHolder(desiredstate.decode_in_steps, on_change)
+        for version in (1, 2):
+            holder.apply_if_newer(config_document(version, DEFAULT_ROUTES), "store")
+        return holder.version, holder.is_settled
+
+    assert run(scenario()) == (2, True)
+    assert states == [1, 2]
