--- a/dogwooddock/mesh/heartbeats.py
+++ b/dogwooddock/mesh/heartbeats.py
@@ -234,6 +234,7 @@
         pool = ConnectionPool(beat.address)
         host = f"{beat.address[0]}:{beat.address[1]}"
         data = self._wire.health_request(host, self._health_path())
+        conn = None
         try:
             async with asyncio.timeout(HEALTH_CHECK_TIMEOUT_S):
                 conn = await pool.open()
@@ -241,7 +242,9 @@
         except OSError as exc:
             log.info("target_unprobed", target=beat.target_id, error=repr(exc))
             return ""
-        conn.close()
+        finally:
+            if conn is not None:
+                conn.close()
         return self._wire.healthy_id(result) if isinstance(result, Response) else ""
 
     def _open_gate(self, beat: Heartbeat) -> None:
--- a/tests/test_mesh_target.py
+++ b/tests/test_mesh_target.py
@@ -371,3 +371,25 @@
             assert status_of(answer) == 200
 
     run(scenario())
+
+
+def test_health_check_without_an_answer_leaves_no_connection_open():
+    opened, closed = [], []
+
+    async def keep_silent(reader, writer):
+        opened.append(writer)
+        while await reader.read(1000):
+            pass
+        closed.append(writer)
+
+    async def scenario():
+        silent = await asyncio.start_server(keep_silent, "127.0.0.1", 0)
+        async with running_fleet("shop") as fleet:
+            monitor = fleet.vms[0].node.target_monitor
+            address = silent.sockets[0].getsockname()[:2]
+            beat = replace(monitor._tracker.current, address=address)
+            assert await monitor._request_health(beat) == ""
+            await wait_until(lambda: closed)
+            assert len(opened) == len(closed) == 1
+
+    run(scenario())
