Let a client pause in reading for as long as a slow reader may

Cause: TCP_USER_TIMEOUT of 4 s counts a full receive window like a lost peer.

Change: connections of clients get 20 s, beyond the 10 s after which the node itself ends one whose client takes nothing. Keep-alive probes find lost clients as before.

Result: the new test (14 MB, a pause of 5.5 s) failed before with a reset and passes.

--- a/dogwooddock/http1/connection.py
+++ b/dogwooddock/http1/connection.py
@@ -78,7 +78,7 @@
         self._writer = PacedWriter(self._transport)
         # Of asyncio's socket transports: the most that is read before a pause holds.
         cast(Any, self._transport).max_size = READ_BYTES
-        tune_socket(self._transport)
+        tune_socket(self._transport, 2 * SLOW_READER_TIMEOUT_S)
         peer = self._transport.get_extra_info("peername")
         self.peer_host = peer[0] if peer else ""
         self._server.admit(self)
--- a/dogwooddock/http1/sockets.py
+++ b/dogwooddock/http1/sockets.py
@@ -8,11 +8,19 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
-UNACKNOWLEDGED_TIMEOUT_MS = 4000
+UNACKNOWLEDGED_S = 4.0
 
 
-def tune_socket(transport: asyncio.BaseTransport) -> None:
-    """Disable Nagle's algorithm and enable TCP keep-alive with short timeouts."""
+def tune_socket(
+    transport: asyncio.BaseTransport, unacknowledged_s: float = UNACKNOWLEDGED_S
+) -> None:
+    """Disable Nagle's algorithm and enable TCP keep-alive with short timeouts.
+
+    Args:
+        transport: Transport of the socket.
+        unacknowledged_s: Time after which the connection ends if the peer takes none
+            of what was sent, in seconds; also where it only does not read.
+    """
     sock = transport.get_extra_info("socket")
     if sock is None:
         return
@@ -23,6 +31,6 @@
         (tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
         (tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
         (tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS),
+        (tcp, socket.TCP_USER_TIMEOUT, int(unacknowledged_s * 1000)),
     ):
         sock.setsockopt(level, option, value)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -310,6 +310,26 @@
     run(scenario())
 
 
+def test_client_that_pauses_in_reading_gets_its_whole_answer():
+    """Guards against a reset by the system, before the timeout of slow readers."""
+    size = 14_000_000  # More than the system takes.
+
+    async def scenario():
+        server = HttpServer(lambda exchange: exchange.respond(200, b"", b"x" * size))
+        address = await server.start(("127.0.0.1", 0))
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(GET)
+        await reader.readuntil(b"\r\n\r\n")
+        writer.transport.pause_reading()
+        await asyncio.sleep(5.5)
+        writer.transport.resume_reading()
+        assert len(await reader.readexactly(size)) == size
+        writer.close()
+        server.stop()
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("error", [OSError(107, "not connected"), ValueError("fault")])
 def test_connection_that_fails_at_its_end_does_not_keep_others_open(error):
     """Guards against timeouts, and a stop, that end with one connection's exception."""
