Let incomplete requests crowd out neither uploads nor one another

Cause: heads that are arriving shared a part of the memory with requests in progress, so a burst of small requests made the node refuse the oldest incomplete ones, uploads first. What was counted of a head left out the line that the library holds.

Change: incomplete requests have 8 MB of their own. A request whose large body is claimed is not among those that make room. Held are the head's bytes as sent, and the objects of fields.

--- a/dogwooddock/http1/connection.py
+++ b/dogwooddock/http1/connection.py
@@ -62,6 +62,7 @@
         self._last_activity_at = self._loop.time()
         # Of the incomplete request: its first byte, and the last one of its body.
         self._began_at = self._progress_at = self._last_activity_at
+        self._is_incomplete = False
         self._body_bytes = 0
         self._body_until = 0.0
         self._transport: asyncio.Transport
@@ -136,7 +137,8 @@
     def _follow_incomplete(self, may_continue: bool) -> None:
         """Record what has arrived of an incomplete request, and claim memory for it."""
         now, parser = self._loop.time(), self._parser
-        if self not in self._server.incomplete:
+        if not self._is_incomplete:
+            self._is_incomplete = True
             self._began_at = self._progress_at = self._last_activity_at = now
             self._body_bytes = 0
             self._body_until = 0.0
@@ -144,6 +146,8 @@
         if parser.in_body:
             self._follow_body(now)
         self._memory.follow()
+        if self._memory.is_claimed:
+            self._server.incomplete.pop(self, None)
         if self._memory.waits and self._waits_for_memory_since is None:
             self._waits_for_memory_since = now
             self._pause_reading()
@@ -162,6 +166,7 @@
             self._progress_at = now
 
     def _end_incomplete(self) -> None:
+        self._is_incomplete = False
         self._server.incomplete.pop(self, None)
 
     def _continue(self) -> None:
@@ -251,7 +256,7 @@
         if self._input_closed:
             return
         now = self._loop.time()
-        is_late = self in self._server.incomplete
+        is_late = self._is_incomplete
         self._last_activity_at = now
         refused = bool(self._refused) and self._refused[0].request is request
         exchange = (
--- a/dogwooddock/http1/exchange.py
+++ b/dogwooddock/http1/exchange.py
@@ -237,7 +237,8 @@
         self.answers_half_closed = False
         self.limits = limits or ServerLimits()
         self.connections: set[ServerConnection] = set()
-        # In the order of time: without a request in progress, and with a part of one.
+        # In the order of time: without a request in progress, and with a part of one
+        # whose body has no memory of its own.
         self.idle: dict[ServerConnection, None] = {}
         self.incomplete: dict[ServerConnection, None] = {}
         self.accepted = 0
--- a/dogwooddock/http1/headerfields.py
+++ b/dogwooddock/http1/headerfields.py
@@ -28,8 +28,8 @@
 
     @property
     def cost_bytes(self) -> int:
-        """Return the memory that the fields take, without those in a packed block."""
-        return len(self.pairs) * FIELD_COST_BYTES + len(self._packed)
+        """Return the memory that the fields take besides their bytes."""
+        return len(self.pairs) * FIELD_COST_BYTES
 
     def add(self, name: bytes, value: bytes) -> None:
         """Add a field."""
--- a/dogwooddock/http1/inputmemory.py
+++ b/dogwooddock/http1/inputmemory.py
@@ -108,18 +108,30 @@
         """Report whether the body may not be read yet."""
         return self._body.waits
 
+    @property
+    def is_claimed(self) -> bool:
+        """Report whether the request is claimed with its large body."""
+        return self._body.is_claimed
+
     def follow(self) -> None:
         """Count what is there of an incomplete request, and claim what is to come."""
         parser = self._parser
         if not parser.drops_body:
             self._body.follow()
         size = parser.held_bytes
-        if parser.in_body and not self._body.is_claimed:
-            size += parser.body_bytes
+        if self.is_claimed:
+            self._count(Held.SMALL, size)
+        else:
+            self._count(Held.HEAD, size + (parser.body_bytes if parser.in_body else 0))
+
+    def _count(self, kind: Held, size: int) -> None:
+        """Count what is held beside a claimed body."""
+        if self._small is not None and self._small.kind is not kind:
+            self._release_small()
         if self._small is not None:
             self._memory.resize(self._small, size)
         elif size:
-            self._small = self._memory.hold(Held.SMALL, size)
+            self._small = self._memory.hold(kind, size)
 
     def take(self, request: Request) -> MemoryClaim | None:
         """Return the claim of a complete request; None if there is no room for it."""
--- a/dogwooddock/http1/parsers.py
+++ b/dogwooddock/http1/parsers.py
@@ -140,7 +140,9 @@
     def held_bytes(self) -> int:
         """Return the memory that an incomplete request takes, without its body."""
         held = len(self._input) - self._offset
-        return held + self._fields.cost_bytes if self.in_message else held
+        if self.in_message:
+            held += self._head_bytes + self._fields.cost_bytes
+        return held
 
     @property
     def has_input(self) -> bool:
--- a/dogwooddock/policy/heldbytes.py
+++ b/dogwooddock/policy/heldbytes.py
@@ -33,8 +33,10 @@
 LONE_COST_FACTOR = 1.25
 # Bodies up to this size are not made to wait.
 SMALL_BODY_BYTES = 16 * 1024
-# Part of the base that small requests, calls and heads take before the budget.
+# Parts of the base: for small requests and calls, before they take of the budget, and
+# for incomplete requests.
 SMALL_LIMIT_BYTES = 16 * MEGABYTE
+HEAD_LIMIT_BYTES = 8 * MEGABYTE
 # Objects of a request in progress.
 REQUEST_COST_BYTES = 6 * 1024
 # Copies of the head of a request in progress.
@@ -56,6 +58,7 @@
     ANSWER = "unwritten-answers"
     READING = "arriving-answers"
     SMALL = "small-requests"
+    HEAD = "incomplete-requests"
 
 
 # What competes for one share of the budget, and waits in one queue.
@@ -67,6 +70,7 @@
     # An answer that was asked for may not wait for others that are expected.
     Held.READING: (Held.READING, Held.ANSWER),
     Held.SMALL: (Held.SMALL,),
+    Held.HEAD: (Held.HEAD,),
 }
 
 
@@ -117,7 +121,8 @@
     Claims that do not fit wait in the order of their arrival. What waits for requests
     does not delay answers, nor the other way round, and none can use the whole
     budget. A claim beyond its share is granted once its side holds nothing else, if
-    the process can hold it. Small requests have a part of their own beside the budget.
+    the process can hold it. Small and incomplete requests have parts of their own
+    beside the budget.
 
     ``waits`` and ``refusals`` count the claims that waited, and those that were given
     up before they were granted or that found no room, by what they are for.
@@ -127,6 +132,7 @@
         capacity_bytes: Most that a claim beyond its share and all others may reach, in
             bytes; None for no limit.
         small_limit_bytes: Part of small requests, in bytes.
+        head_limit_bytes: Part of incomplete requests, in bytes.
     """
 
     def __init__(
@@ -134,10 +140,12 @@
         limit_bytes: int | None = None,
         capacity_bytes: int | None = None,
         small_limit_bytes: int = SMALL_LIMIT_BYTES,
+        head_limit_bytes: int = HEAD_LIMIT_BYTES,
     ):
         self.limit_bytes = limit_bytes
         self._capacity_bytes = capacity_bytes
         self._small_limit_bytes = small_limit_bytes
+        self._head_limit_bytes = head_limit_bytes
         self.waits: Counter[Held] = Counter()
         self.refusals: Counter[Held] = Counter()
         self._held = dict.fromkeys(Held, 0)
@@ -192,8 +200,8 @@
 
     @property
     def is_full(self) -> bool:
-        """Report whether small requests exceed their part."""
-        return self._held[Held.SMALL] > self._small_limit_bytes
+        """Report whether incomplete requests exceed their part."""
+        return self._held[Held.HEAD] > self._head_limit_bytes
 
     def ask(
         self, kind: Held, size: int, on_grant: Callable[[], None], owned: int = 0
@@ -251,7 +259,8 @@
         if self.limit_bytes is None:
             return True
         own = sum(self._held[rival] for rival in _RIVALS[kind])
-        total = self.total_bytes - self._held[Held.SMALL] + size
+        beside = self._held[Held.SMALL] + self._held[Held.HEAD]
+        total = self.total_bytes - beside + size
         if own == owned:
             return self._capacity_bytes is None or total <= self._capacity_bytes
         fits_share = own + size <= self.limit_bytes * MAX_SHARE
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -308,3 +308,31 @@
         return held
 
     assert asyncio.run(scenario()) < 3 * BODY_BYTES
+
+
+def test_oldest_incomplete_requests_make_room_for_others():
+    """Guards against heads without end that crowd out others, or uploads."""
+    line = b"a: " + b"h" * 990 + b"\r\n"
+
+    async def scenario():
+        memory = HeldBytes(10 * BODY_BYTES, head_limit_bytes=12_000)
+        answer = lambda exchange: exchange.respond(200, b"", b"")  # noqa: E731
+        server = HttpServer(answer, memory=memory)
+        address = await server.start(("127.0.0.1", 0))
+        upload_reader, upload_writer = await asyncio.open_connection(*address)
+        upload_writer.write(upload(0)[:-1])
+        await wait_until(lambda: memory.held_bytes(Held.REQUEST) >= BODY_BYTES)
+        conns = [await asyncio.open_connection(*address) for _ in range(5)]
+        for _, writer in conns:
+            writer.write(b"GET / HTTP/1.1\r\n" + line * 3)
+            await asyncio.sleep(0.05)
+        statuses = []
+        for reader, writer in conns:
+            writer.write(b"\r\n")
+            statuses.append(int((await reader.readline()).split()[1]))
+        upload_writer.write(b"x")
+        statuses.append(int((await upload_reader.readline()).split()[1]))
+        server.stop()
+        return statuses
+
+    assert asyncio.run(scenario()) == [503, 503, 200, 200, 200, 200]
