--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -97,7 +97,7 @@
         "truncated-answer-accepted",
         (
             (
-                "http1/parsers.py",
+                "http1/responseparser.py",
                 "if not (self.in_message and self._in_body) or has_framing:",
                 "if not (self.in_message and self._in_body):",
             ),
--- a/dogwooddock/http1/client.py
+++ b/dogwooddock/http1/client.py
@@ -11,7 +11,7 @@
 from .inputmemory import BodyMemory
 from .messages import HttpError, Response
 from .pacedwriter import PacedWriter
-from .parsers import ResponseParser
+from .responseparser import ResponseParser
 from .sockets import tune_socket
 
 MAX_HEADER_BYTES = 64 * 1024
--- a/dogwooddock/http1/connection.py
+++ b/dogwooddock/http1/connection.py
@@ -22,7 +22,7 @@
 from .inputmemory import RequestMemory
 from .messages import HttpError, Request, render_response
 from .pacedwriter import PacedWriter
-from .parsers import RequestParser
+from .requestparser import RequestParser
 from .sockets import tune_socket
 
 MAX_PIPELINED_REQUESTS = 64
--- a/dogwooddock/http1/inputmemory.py
+++ b/dogwooddock/http1/inputmemory.py
@@ -11,8 +11,9 @@
     MemoryClaim,
     request_cost,
 )
+from .messageparser import MessageParser
 from .messages import Request
-from .parsers import MessageParser, RequestParser
+from .requestparser import RequestParser
 
 # A body of unknown length claims this many times what has arrived of it.
 GROWTH = 2
--- a/dogwooddock/http1/parsers.py
+++ b/dogwooddock/http1/requestparser.py
@@ -1,102 +1,20 @@
-"""Parsers of HTTP/1.1 messages, without I/O."""
+"""Parser of HTTP/1.1 requests, without I/O."""
 
-__all__ = ["MessageParser", "RequestParser", "ResponseParser"]
+__all__ = ["RequestParser"]
 
 from collections.abc import Callable
 
 import httptools
 
-from .bodybuffer import BodyBuffer
 from .headerfields import HeaderFields
-from .messages import HttpError, Request, Response
+from .messageparser import MessageParser, callback_error
+from .messages import HttpError, Request
 from .targets import parse_absolute
 
-UNREPEATABLE_HEADERS = frozenset({b"host", b"content-length", b"transfer-encoding"})
-MAX_INTERIM_RESPONSES = 16
-MIN_STATUS = 100
-MAX_STATUS = 599
 LINE_END = b"\r\n"
 EMPTY_LINE = b"\r\n\r\n"
 
 
-class MessageParser:
-    """httptools callbacks shared by both parsers; they collect headers and body."""
-
-    def __init__(self, max_header_bytes: int, max_body_bytes: int):
-        self.max_header_bytes = max_header_bytes
-        self.max_body_bytes = max_body_bytes
-        self.in_message = False
-        # Bytes of chunk sizes, extensions and trailers since the last byte of a body.
-        self._framing_bytes = 0
-        self._reset()
-
-    def _reset(self) -> None:
-        self._fields = HeaderFields()
-        self._body = BodyBuffer()
-        self._header_bytes = 0
-        self._in_body = False
-
-    @property
-    def in_body(self) -> bool:
-        """Report whether the head of the current message is complete."""
-        return self.in_message and self._in_body
-
-    @property
-    def body_length(self) -> int | None:
-        """Return the size of the body that the head tells; None if it tells none."""
-        length = self._fields.by_name.get(b"content-length")
-        return int(length) if length is not None else None
-
-    @property
-    def body_bytes(self) -> int:
-        """Return the size of the part of the current body that has arrived."""
-        return self._body.size
-
-    def on_message_begin(self) -> None:
-        """Start a message."""
-        self._reset()
-        self.in_message = True
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; trailers are ignored."""
-        if self._in_body:
-            return
-        self._header_bytes += len(name) + len(value)
-        if self._header_bytes > self.max_header_bytes:
-            raise HttpError(431, "the headers are too large; send fewer or shorter")
-        lower = name.lower()
-        if lower in UNREPEATABLE_HEADERS and lower in self._fields.by_name:
-            raise HttpError(400, f"header {name!r} is repeated; send it once")
-        self._fields.add(name, value)
-
-    def on_headers_complete(self) -> None:
-        """Record that the body follows."""
-        self._in_body = True
-
-    def on_body(self, chunk: bytes) -> None:
-        """Store a chunk of the body."""
-        if self._body.size + len(chunk) > self.max_body_bytes:
-            raise HttpError(413, "the body is too large; send a smaller one")
-        self._body.add(chunk)
-
-    def drop_body(self) -> None:
-        """Hold no part of an incomplete body; the message can't be completed."""
-        self._body.clear()
-
-    def _count_framing(self, size: int, progressed: bool) -> bool:
-        """Count bytes that were parsed; return whether framing exceeds its limit."""
-        self._framing_bytes = 0 if progressed else self._framing_bytes + size
-        return self._framing_bytes > self.max_header_bytes
-
-
-def _callback_error(exc: Exception) -> HttpError | None:
-    """Return the HttpError that a callback raised inside the parser, or None."""
-    for chained in (exc.__context__, exc.__cause__):
-        if isinstance(chained, HttpError):
-            return chained
-    return None
-
-
 class RequestParser(MessageParser):
     """Parse the bytes of a connection into requests.
 
@@ -306,7 +224,7 @@
         except httptools.HttpParserUpgrade as exc:
             raise HttpError(400, "upgrades are not served; send HTTP/1.1") from exc
         except httptools.HttpParserError as exc:
-            error = _callback_error(exc)
+            error = callback_error(exc)
             if error is not None:
                 raise error from exc
             raise HttpError(400, "the request cannot be read; correct it") from exc
@@ -401,91 +319,3 @@
             parser.should_keep_alive(),
             self._head_bytes,
         )
-
-
-class ResponseParser(MessageParser):
-    """Parse the bytes of a connection into responses.
-
-    Args:
-        max_header_bytes: Largest header block, in bytes; also the most bytes in a row
-            that complete neither a head nor any part of a body.
-        max_body_bytes: Largest body, in bytes.
-
-    ``bodiless`` tells that the next response has no body, whatever length it names, as
-    for a HEAD request; its connection carries no other response.
-    """
-
-    def __init__(self, max_header_bytes: int, max_body_bytes: int):
-        super().__init__(max_header_bytes, max_body_bytes)
-        self._parser = httptools.HttpResponseParser(self)
-        self._completed: list[Response] = []
-        self._interim_responses = 0
-        self.bodiless = False
-
-    @property
-    def buffered_bytes(self) -> int:
-        """Return the size of the part of an incomplete response that is held."""
-        return self._framing_bytes + self.body_bytes if self.in_message else 0
-
-    def feed(self, data: bytes) -> list[Response]:
-        """Parse bytes and return the responses that they complete.
-
-        Raises:
-            HttpError: The response is malformed or exceeds a limit.
-        """
-        held_before = self.body_bytes
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
-            error = _callback_error(exc)
-            cause = f": {error}" if error is not None else ""
-            raise HttpError(502, f"the response cannot be read{cause}") from exc
-        completed, self._completed = self._completed, []
-        progressed = bool(completed) or self.body_bytes != held_before
-        if self._count_framing(len(data), progressed):
-            raise HttpError(502, "the response's head or framing does not end")
-        return completed
-
-    def feed_eof(self) -> Response | None:
-        """Return the response that the end of the connection completes, or None."""
-        fields = self._fields.by_name
-        has_framing = b"content-length" in fields or b"transfer-encoding" in fields
-        if not (self.in_message and self._in_body) or has_framing:
-            return None
-        self.in_message = False
-        return self._build_response(keep_alive=False)
-
-    def on_headers_complete(self) -> None:
-        """Record that the body follows, or complete a response without one."""
-        super().on_headers_complete()
-        status = self._parser.get_status_code()
-        if not MIN_STATUS <= status <= MAX_STATUS:
-            raise HttpError(502, f"the status {status:03} is none of HTTP")
-        if self.bodiless and self._parser.get_status_code() >= 200:
-            self.in_message = False
-            self._completed.append(self._build_response(keep_alive=False))
-
-    def on_message_complete(self) -> None:
-        """Build the completed response; interim (1xx) responses are dropped."""
-        self.in_message = False
-        status = self._parser.get_status_code()
-        if self.bodiless and status >= 200:
-            return  # It was complete with its head.
-        if status >= 200:
-            self._interim_responses = 0
-            self._completed.append(
-                self._build_response(self._parser.should_keep_alive())
-            )
-            return
-        self._interim_responses += 1
-        if self._interim_responses > MAX_INTERIM_RESPONSES:
-            raise HttpError(502, "the interim responses do not end")
-
-    def _build_response(self, keep_alive: bool) -> Response:
-        return Response(
-            self._parser.get_status_code(),
-            self._fields.pairs,
-            self._fields.by_name,
-            self._body.take(),
-            keep_alive,
-        )
--- a/tests/test_absolute_targets.py
+++ b/tests/test_absolute_targets.py
@@ -9,7 +9,7 @@
 import pytest
 
 from dogwooddock.http1.messages import HttpError
-from dogwooddock.http1.parsers import RequestParser
+from dogwooddock.http1.requestparser import RequestParser
 
 from .mesh_helpers import running_fleet
 from .virtual_time import run
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -10,7 +10,7 @@
 
 from dogwooddock.errors import TargetError
 from dogwooddock.http1.messages import HttpError
-from dogwooddock.http1.parsers import ResponseParser
+from dogwooddock.http1.responseparser import ResponseParser
 from dogwooddock.targets.client import Canceller, HttpTarget
 
 MAX_BYTES = 1 << 20
--- a/tests/test_head_requests.py
+++ b/tests/test_head_requests.py
@@ -9,7 +9,7 @@
 import pytest
 
 from bench.mesh_standin import TargetMode
-from dogwooddock.http1.parsers import ResponseParser
+from dogwooddock.http1.responseparser import ResponseParser
 
 from .mesh_helpers import running_fleet
 from .virtual_time import run
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from dogwooddock.http1.messages import HttpError
-from dogwooddock.http1.parsers import RequestParser
+from dogwooddock.http1.requestparser import RequestParser
 
 LINE = b"GET /x HTTP/1.1\r\n"
 CHUNKED = b"POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/test_statuses.py
+++ b/tests/test_statuses.py
@@ -11,7 +11,7 @@
 
 from dogwooddock.errors import TargetError
 from dogwooddock.http1.messages import HttpError
-from dogwooddock.http1.parsers import ResponseParser
+from dogwooddock.http1.responseparser import ResponseParser
 from dogwooddock.targets.client import Canceller, HttpTarget
 
 from .mesh_helpers import running_fleet, status_of
