Part links that dial from the links themselves

peers/links.py had 525 lines and two classes; the links of this node's own calls, which connect again on demand, have peers/outboundlinks.py now.

--- a/dogwooddock/mesh/fleet.py
+++ b/dogwooddock/mesh/fleet.py
@@ -7,7 +7,8 @@
 from random import Random
 
 from ..peers.linkcodec import Frame
-from ..peers.links import PROBE_AFTER_IDLE_S, LinkHandler, OutboundLink
+from ..peers.links import LinkHandler
+from ..peers.outboundlinks import PROBE_AFTER_IDLE_S, OutboundLink
 from ..policy.candidates import Candidate
 from ..policy.levels import LevelTable
 from ..policy.lifetimes import TargetState
