Bound the values of a log line

Seen: a client's request target of 16 KB stood whole in the line about it, up to 640 KB of log a second beside the limit on lines.

Change: values are cut at 500 characters, tracebacks at 8,000; the text of a library's line was cut before.

--- a/dogwooddock/logs.py
+++ b/dogwooddock/logs.py
@@ -12,7 +12,9 @@
 
 LINES_PER_S = 40.0
 BURST_LINES = 200.0
-MAX_LIBRARY_TEXT_CHARS = 500
+# Longest value of a line; what clients send may be much longer.
+MAX_VALUE_CHARS = 500
+MAX_TRACEBACK_CHARS = 8000
 
 
 class RateLimitedWriter:
@@ -103,7 +105,7 @@
             record.levelno,
             "library_message",
             library=record.name,
-            text=record.getMessage()[:MAX_LIBRARY_TEXT_CHARS],
+            text=record.getMessage(),
             exc_info=record.exc_info,
         )
 
@@ -159,6 +161,7 @@
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
+            _bound_values,
             _ContextProcessor(context),
             structlog.processors.LogfmtRenderer(
                 key_order=["timestamp", "level", "event"], drop_missing=True
@@ -172,6 +175,17 @@
     )
 
 
+def _bound_values(
+    logger: object, name: str, event: structlog.typing.EventDict
+) -> structlog.typing.EventDict:
+    """Cut long values."""
+    for key, value in event.items():
+        limit = MAX_TRACEBACK_CHARS if key == "exception" else MAX_VALUE_CHARS
+        if isinstance(value, str) and len(value) > limit:
+            event[key] = value[:limit]
+    return event
+
+
 class _ContextProcessor:
     """Add fixed key-value pairs to every event; they override the event's own."""
 
