Count waiting replies, and time pipelined requests from their arrival

Seen by reading: a reply above 128 KB that waits on a link was held by no count; a request behind 64 others, or behind one in a crowd, got its whole time again when it was parsed; an upload in progress could be closed to make room for connections; a refusal for memory named no time to come back.

Change: the link holds a claim until it has taken the body; a request's time runs from the bytes that brought it; a connection whose large body is claimed is not idle; 503 for memory has Retry-After.

--- a/dogwooddock/http1/connection.py
+++ b/dogwooddock/http1/connection.py
@@ -17,7 +17,14 @@
     keeps_open,
 )
 from ..policy.heldbytes import Held, MemoryClaim
-from .exchange import ClientState, Exchange, ServerConnection, ServerState
+from .exchange import (
+    NO_MEMORY_STATUS,
+    RETRY_AFTER,
+    ClientState,
+    Exchange,
+    ServerConnection,
+    ServerState,
+)
 from .halfclose import INTERIM_RESPONSE, HalfCloseWatch, PausedInputWatch
 from .inputmemory import RequestMemory
 from .messages import HttpError, Request, render_response
@@ -62,6 +69,8 @@
         self._last_activity_at = self._loop.time()
         # Of the incomplete request: its first byte, and the last one of its body.
         self._began_at = self._progress_at = self._last_activity_at
+        # Of the bytes that came last, and of those that began the incomplete request.
+        self._received_at = self._arrived_at = self._last_activity_at
         self._is_incomplete = False
         self._body_bytes = 0
         self._body_until = 0.0
@@ -88,6 +97,7 @@
         """Parse what the client sends, and handle the requests that it completes."""
         if self._input_closed and not self._parser.drops_body:
             return
+        self._received_at = self._loop.time()
         self._parser.receive(data)
         self._process_input()
 
@@ -139,6 +149,7 @@
         now, parser = self._loop.time(), self._parser
         if not self._is_incomplete:
             self._is_incomplete = True
+            self._arrived_at = self._received_at
             self._began_at = self._progress_at = self._last_activity_at = now
             self._body_bytes = 0
             self._body_until = 0.0
@@ -148,6 +159,7 @@
         self._memory.follow()
         if self._memory.is_claimed:
             self._server.incomplete.pop(self, None)
+            self._server.idle.pop(self, None)
         if self._memory.waits and self._waits_for_memory_since is None:
             self._waits_for_memory_since = now
             self._pause_reading()
@@ -255,15 +267,12 @@
     def _handle_request(self, request: Request) -> None:
         if self._input_closed:
             return
-        now = self._loop.time()
-        is_late = self._is_incomplete
-        self._last_activity_at = now
+        # The client's time runs from when it began to send.
+        arrived_at = self._arrived_at if self._is_incomplete else self._received_at
+        self._last_activity_at = self._loop.time()
         refused = bool(self._refused) and self._refused[0].request is request
         exchange = (
-            self._refused.popleft()
-            if refused
-            # The client's time runs from when it began to send.
-            else Exchange(request, self, self._began_at if is_late else now)
+            self._refused.popleft() if refused else Exchange(request, self, arrived_at)
         )
         self._end_incomplete()
         self._server.idle.pop(self, None)
@@ -294,7 +303,8 @@
         exchange = Exchange(Request(keep_alive=False), self, self._loop.time())
         self._pending.append(exchange)
         self._input_closed = True
-        exchange.respond(error.status, b"", f"{error}\n".encode())
+        block = RETRY_AFTER if error.status == NO_MEMORY_STATUS else b""
+        exchange.respond(error.status, block, f"{error}\n".encode())
 
     def flush(self) -> None:
         """Write the responses that are ready, in the order of the requests."""
@@ -482,7 +492,7 @@
         if self._waits_for_memory_since is not None:
             if now - self._waits_for_memory_since > MEMORY_WAIT_S:
                 text = "the node has no memory for the body; resend it later"
-                self._reject(HttpError(503, text))
+                self._reject(HttpError(NO_MEMORY_STATUS, text))
             return
         if self._pending:
             return
@@ -509,4 +519,5 @@
 
     def refuse_incomplete(self) -> None:
         """Refuse the incomplete request, to make room for others."""
-        self._reject(HttpError(503, "the node has no memory for it; resend it later"))
+        text = "the node has no memory for the request; resend it later"
+        self._reject(HttpError(NO_MEMORY_STATUS, text))
--- a/dogwooddock/http1/exchange.py
+++ b/dogwooddock/http1/exchange.py
@@ -20,6 +20,8 @@
 # Longest time from the first byte of a request to its last, if its client names none.
 MAX_UPLOAD_S = 600.0
 MAX_CONNECTIONS = 4096
+NO_MEMORY_STATUS = 503
+RETRY_AFTER = b"Retry-After: 1\r\n"
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,7 +193,8 @@
 
 
 def _refuse_for_memory(exchange: Exchange) -> None:
-    exchange.respond(503, b"", b"the node has no memory for it; resend it later\n")
+    text = b"the node has no memory for the request; resend it later\n"
+    exchange.respond(NO_MEMORY_STATUS, RETRY_AFTER, text)
 
 
 def _upload_timeout_s(head: Request) -> float:
--- a/dogwooddock/peers/linkbodies.py
+++ b/dogwooddock/peers/linkbodies.py
@@ -35,6 +35,10 @@
         """Add the body of a call, or of the reply to one."""
         self._bodies.append((call_id, memoryview(body)))
 
+    def has(self, call_id: int) -> bool:
+        """Report whether a part of a body is not taken yet."""
+        return any(other == call_id for other, _ in self._bodies)
+
     def drop(self, call_id: int) -> None:
         """Send no more of a body."""
         kept = [entry for entry in self._bodies if entry[0] != call_id]
--- a/dogwooddock/peers/links.py
+++ b/dogwooddock/peers/links.py
@@ -105,6 +105,7 @@
         self._write_paused = False
         self._memory = memory
         self._frame_claim: MemoryClaim | None = None
+        self._reply_claims: dict[int, MemoryClaim] = {}
         self._is_rejected = False
         self.has_frames = False
         self.peer_host = ""
@@ -168,12 +169,21 @@
         if len(body) > MAX_WHOLE_BODY_BYTES and self.peer_takes_parts and self.is_up:
             self.send(replace(frame, body_size=len(body)))
             self._bodies.add(frame.call_id, body)
+            if isinstance(frame, ReplyFrame):
+                claim = self._memory.hold(Held.ANSWER, len(body))
+                self._reply_claims[frame.call_id] = claim
         else:
             self.send(frame)
 
     def drop_body(self, call_id: int) -> None:
         """Send no more of the body of a call."""
         self._bodies.drop(call_id)
+        self._free_reply(call_id)
+
+    def _free_reply(self, call_id: int) -> None:
+        claim = self._reply_claims.pop(call_id, None)
+        if claim is not None:
+            self._memory.release(claim)
 
     def _flush(self) -> None:
         outgoing, self._outgoing = self._outgoing, []
@@ -198,6 +208,8 @@
             data = encode_frame(part, self._loop.time())
             self._traffic.sent.add(part, len(data))
             self._write(data)
+            if not self._bodies.has(part.call_id):
+                self._free_reply(part.call_id)
         if not self._outgoing:
             self._loop.call_soon(self._flush)
 
@@ -260,6 +272,8 @@
         self.is_up = False
         if self._frame_claim is not None:
             self._memory.release(self._frame_claim)
+        for call_id in list(self._reply_claims):
+            self._free_reply(call_id)
         self._account.close(self._traffic)
         self._on_lost(self)
 
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -336,3 +336,45 @@
         return statuses
 
     assert asyncio.run(scenario()) == [503, 503, 200, 200, 200, 200]
+
+
+def test_upload_in_progress_is_not_closed_to_make_room_for_connections():
+    async def scenario():
+        server = HttpServer(
+            lambda exchange: exchange.respond(200, b"", b""), max_connections=3
+        )
+        address = await server.start(("127.0.0.1", 0))
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(upload(0)[:-1])
+        await wait_until(lambda: server.memory.held_bytes(Held.REQUEST))
+        others = [await asyncio.open_connection(*address) for _ in range(6)]
+        await wait_until(lambda: len(server.connections) == 3)
+        writer.write(b"x")
+        line = await reader.readline()
+        server.stop()
+        return line, others
+
+    assert b"200" in asyncio.run(scenario())[0]
+
+
+def test_time_of_a_pipelined_request_runs_from_its_arrival():
+    arrived = []
+
+    def handle(exchange):
+        arrived.append(exchange.arrived_at)
+        asyncio.get_running_loop().call_later(0.5, exchange.respond, 200, b"", b"")
+
+    async def scenario():
+        memory = HeldBytes(BODY_BYTES, small_limit_bytes=10_000)
+        memory.hold(Held.SMALL, 6_000)  # One request of a connection at a time.
+        server = HttpServer(handle, memory=memory)
+        address = await server.start(("127.0.0.1", 0))
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n" * 3)
+        for _ in range(3):
+            await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+        server.stop()
+
+    run(scenario())
+    assert max(arrived) - min(arrived) < 0.1
--- a/tests/test_link_bodies.py
+++ b/tests/test_link_bodies.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from bench.mesh_standin import TargetMode
 from dogwooddock.errors import PeerError
 from dogwooddock.mesh.calls import MeshReply
 from dogwooddock.peers import links
@@ -72,6 +73,31 @@
     return vm.send_request("/stock/1", request_id, **options)
 
 
+def test_large_answer_is_counted_until_the_link_has_taken_it():
+    async def scenario():
+        async with running_fleet("stock", "shop") as fleet:
+            first, second = fleet.vms
+            await wait_until(lambda: second.node.fleet.has_members("stock"))
+            first.target.mode = TargetMode(body_bytes=900_000)
+            most = []
+            first.node.memory.hold = _recording(first.node.memory.hold, most)
+            answer = await second.send_request("/stock/1", "large")
+            assert len(answer.body) == 900_000
+            for node in (first.node, second.node):
+                await wait_until(lambda node=node: node.memory.total_bytes == 0)
+            return most
+
+    assert (Held.ANSWER, 900_000) in asyncio.run(scenario())
+
+
+def _recording(hold, calls):
+    def record(kind, size):
+        calls.append((kind, size))
+        return hold(kind, size)
+
+    return record
+
+
 def test_peer_of_the_release_before_gets_no_body_that_closes_its_link(monkeypatch):
     monkeypatch.setattr(links, "MAX_UNDIVIDED_BODY_BYTES", 600_000)
 
