Leave more descriptors for links than for idle callers

By reading: 0.15 of a process's descriptors are 585 links of 4,100, and a node beside a target of a large fleet has one from each node that calls it; it had all that was left before.

Change: callers get 0.45 and links 0.35.

--- a/dogwooddock/policy/descriptors.py
+++ b/dogwooddock/policy/descriptors.py
@@ -8,8 +8,8 @@
 RESERVED_DESCRIPTORS = 200
 MIN_DESCRIPTORS = 400
 # The rest is for connections to the target, to other nodes and to the store.
-CALLER_SHARE = 0.6
-LINK_SHARE = 0.15
+CALLER_SHARE = 0.45
+LINK_SHARE = 0.35
 PORT_SHARE = 0.02
 MAX_PORT_CONNECTIONS = 64
 
