Know a head of many fields while its body arrives

Seen by reading: once an incomplete request with 64 fields or more was packed, its length, its deadline and the names that may stand once were not known: its body was divided like a chunked one, so that a request behind it on the connection could be read without its fields, and a repeated Host was let through.

Change: the length and these names are kept beside the fields, and the head is unpacked for the deadline.

--- a/dogwooddock/http1/messageparser.py
+++ b/dogwooddock/http1/messageparser.py
@@ -23,6 +23,8 @@
     def _reset(self) -> None:
         self._fields = HeaderFields()
         self._body = BodyBuffer()
+        self._length: int | None = None
+        self._names_sent: set[bytes] = set()
         self._header_bytes = 0
         self._in_body = False
 
@@ -34,8 +36,7 @@
     @property
     def body_length(self) -> int | None:
         """Return the size of the body that the head tells; None if it tells none."""
-        length = self._fields.by_name.get(b"content-length")
-        return int(length) if length is not None else None
+        return self._length
 
     @property
     def body_bytes(self) -> int:
@@ -55,12 +56,17 @@
         if self._header_bytes > self.max_header_bytes:
             raise HttpError(431, "the headers are too large; send fewer or shorter")
         lower = name.lower()
-        if lower in UNREPEATABLE_HEADERS and lower in self._fields.by_name:
-            raise HttpError(400, f"header {name!r} is repeated; send it once")
+        if lower in UNREPEATABLE_HEADERS:
+            if lower in self._names_sent:
+                raise HttpError(400, f"header {name!r} is repeated; send it once")
+            self._names_sent.add(lower)
         self._fields.add(name, value)
 
     def on_headers_complete(self) -> None:
-        """Record that the body follows."""
+        """Record that the body follows, and its length if the head tells one."""
+        self._fields.unpack()
+        length = self._fields.by_name.get(b"content-length")
+        self._length = int(length) if length is not None else None
         self._in_body = True
 
     def on_body(self, chunk: bytes) -> None:
--- a/dogwooddock/http1/requestparser.py
+++ b/dogwooddock/http1/requestparser.py
@@ -78,6 +78,7 @@
 
     def partial_request(self) -> Request:
         """Return the current request, whose head is complete, without a body."""
+        self._fields.unpack()
         return Request(headers=self._fields.pairs, fields=self._fields.by_name)
 
     def feed(self, data: bytes) -> list[Request]:
@@ -247,7 +248,6 @@
     def on_headers_complete(self) -> None:
         """Record that the body follows and whether the client awaits 100 Continue."""
         super().on_headers_complete()
-        self._fields.unpack()
         self._read_absolute_target()
         expect = self._fields.by_name.get(b"expect", b"")
         self.wants_continue = expect.lower() == b"100-continue"
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -18,6 +18,9 @@
         b"POST /l HTTP/1.1\r\nContent-Length: 6\r\n\r\n\r\n\r\nab",
         CHUNKED + b"6;e=f\r\n\r\n\r\ncd\r\n0\r\nT: u\r\n\r\n",
         CHUNKED + b"0\r\n\r\n",
+        b"POST /m HTTP/1.1\r\nContent-Length: 6\r\n"
+        + b"a:b\r\n" * 100
+        + b"\r\n\r\n\r\nef",
         b"PUT /e HTTP/1.1\r\nContent-Length: 0\r\nLast: 1\r\n\r\n",
     ]
 )
@@ -27,13 +30,14 @@
     (b"/l", b"\r\n\r\nab"),
     (b"/c", b"\r\n\r\ncd"),
     (b"/c", b""),
+    (b"/m", b"\r\n\r\nef"),
     (b"/e", b""),
 ]
 
 
 @given(st.lists(st.integers(0, len(STREAM)), max_size=12))
 def test_requests_do_not_depend_on_how_their_bytes_are_divided(cuts):
-    parser, found = RequestParser(100, 100), []
+    parser, found = RequestParser(1000, 100), []
     bounds = [0, *sorted(cuts), len(STREAM)]
     for start, end in pairwise(bounds):
         requests = parser.feed(STREAM[start:end])
@@ -82,3 +86,20 @@
     parser = RequestParser(20_000, 100)
     parser.feed(LINE + b"a: b\r\n" * 3000 + b"c")
     assert parser.held_bytes < 20_000
+
+
+@pytest.mark.parametrize("size", [1, 7, 2000])
+def test_header_that_may_stand_once_is_refused_behind_many_others(size):
+    parser = RequestParser(2000, 100)
+    data = LINE + b"Host: a\r\n" + b"a:b\r\n" * 200 + b"Host: b\r\n\r\n"
+    with pytest.raises(HttpError):
+        for start in range(0, len(data), size):
+            parser.feed(data[start : start + size])
+
+
+def test_head_of_many_fields_is_known_while_its_body_arrives():
+    parser = RequestParser(2000, 100)
+    head = b"POST / HTTP/1.1\r\nName: v\r\nContent-Length: 9\r\n" + b"a:b\r\n" * 200
+    assert parser.feed(head + b"\r\nbody") == []
+    assert parser.body_length == 9
+    assert parser.partial_request().fields[b"name"] == b"v"
