Let answers that wait behind an earlier one count as answers

Seen: 30 clients that send one slow request and 20 for 2 MB behind it took 364 MB of 128.

Cause: a ready answer in a pipeline was counted with small requests, where nothing that asks for more answers waits for it.

Change: it is counted as an unwritten answer until it is written, so that no more are asked for, or read from the target, than there is room.

--- a/dogwooddock/http1/connection.py
+++ b/dogwooddock/http1/connection.py
@@ -244,8 +244,10 @@
 
     def hold_answer(self, exchange: Exchange, size: int) -> None:
         """Count an answer that is ready, in place of its request."""
-        if exchange.claim is not None:
-            self._server.memory.resize(exchange.claim, size)
+        self._free_claim(exchange)
+        if self._pending and exchange is not self._pending[0]:
+            # It waits for the answers to earlier requests.
+            exchange.claim = self._server.memory.hold(Held.ANSWER, size)
 
     # Requests and responses.
 
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -105,6 +105,9 @@
     # Very many connections, or requests.
     "idle": Crowd(b"", clients=1500),
     "unread-answers": Crowd(GET + b"\r\n", clients=200),
+    "answers-behind-a-slow-one": Crowd(
+        GET + b"\r\n" + (head("/small/x") + b"\r\n") * 20, clients=30
+    ),
     "pipelined": Crowd(GET + b"\r\n", (GET + b"\r\n") * 100, 400_000, clients=200),
     # The other ports.
     "check-in-body": Crowd(
@@ -131,6 +134,9 @@
     "small-bodies-pipelined": SLOW,
     "uploads": SLOW,
     "unread-answers": TargetMode(body_bytes=2_000_000),
+    "answers-behind-a-slow-one": TargetMode(
+        work_by_path=(("/odd/x", 5.0),), body_bytes=2_000_000
+    ),
     "pipelined": TargetMode(body_bytes=15_000),
 }
 
