Let connections take turns, so that a flood of requests delays no stop

Cause: a turn of the event loop handled all that was read from each of 200 connections, some 300 requests each; a stopping node answered each at once, and did not close a connection while further requests of it had arrived.

Change: a connection has 16 requests handled in a turn, then the others go on; at the end of the drain it is closed behind an answer though unread requests follow, which are not run.

--- a/dogwooddock/http1/connection.py
+++ b/dogwooddock/http1/connection.py
@@ -33,6 +33,8 @@
 from .sockets import tune_socket
 
 MAX_PIPELINED_REQUESTS = 64
+# Requests of a connection that are handled before other connections have their turn.
+REQUESTS_PER_TURN = 16
 SLOW_READER_TIMEOUT_S = 10.0
 # Time in which a client closes a connection after its last response.
 LINGER_S = 1.0
@@ -62,6 +64,7 @@
         self._write_paused_at: float | None = None
         self._input_closed = False
         self._parsing = False
+        self._turn_over = False
         self._lingering = False
         self._unwritten_claim: MemoryClaim | None = None
         self._waits_for_memory_since: float | None = None
@@ -126,7 +129,9 @@
 
     def _handle_requests(self) -> None:
         parser, server = self._parser, self._server
-        while len(self._pending) < self._max_pipelined:
+        for _ in range(REQUESTS_PER_TURN):
+            if len(self._pending) >= self._max_pipelined:
+                return
             if not parser.in_message:
                 parser.max_header_bytes = server.limits.max_header_bytes
                 parser.max_body_bytes = server.limits.max_body_bytes
@@ -138,6 +143,15 @@
             if self._input_closed and not parser.drops_body:
                 parser.discard_input()
                 return
+        if parser.has_input:
+            self._turn_over = True
+            self._transport.pause_reading()
+            self._loop.call_soon(self._take_turn)
+
+    def _take_turn(self) -> None:
+        """Go on with what has arrived, after other connections."""
+        self._turn_over = False
+        self._resume_reading()
 
     @property
     def _max_pipelined(self) -> int:
@@ -215,7 +229,8 @@
     @property
     def _may_read(self) -> bool:
         return (
-            self._waits_for_memory_since is None
+            not self._turn_over
+            and self._waits_for_memory_since is None
             and self._write_paused_at is None
             and len(self._pending) < self._max_pipelined
         )
@@ -315,7 +330,7 @@
             exchange = pending.popleft()
             response = exchange._response
             assert response is not None
-            if self._server.draining and not pending and not self._parser.has_part:
+            if self._server.draining and not pending and not self._parser.in_message:
                 self._input_closed = True
             close = self._input_closed and not pending
             to_head = exchange.request.method == b"HEAD"
--- a/dogwooddock/http1/requestparser.py
+++ b/dogwooddock/http1/requestparser.py
@@ -67,11 +67,6 @@
         """Report whether bytes were received that are not parsed yet."""
         return self._offset < len(self._input)
 
-    @property
-    def has_part(self) -> bool:
-        """Report whether any part of a further request has arrived."""
-        return self.in_message or self.has_input
-
     def discard_input(self) -> None:
         """Drop the bytes that are not parsed yet."""
         self._input, self._offset = b"", 0
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -355,3 +355,26 @@
             assert not http._sweeper.done()
 
     run(scenario())
+
+
+def test_connections_take_turns_however_many_requests_one_has_sent():
+    """Guards against a client that keeps the node from all others, and from its stop."""
+
+    async def scenario():
+        async with Server() as server:
+            (conn,) = await _accepted(server)
+            conn.data_received(GET * 300)
+            at_once = len(server.handled)
+            for _ in range(300):
+                await asyncio.sleep(0)
+            return at_once, len(server.handled)
+
+    at_once, in_all = run(scenario())
+    assert at_once < 64
+    assert in_all == 300
+
+
+async def _accepted(server):
+    while not server._http.connections:
+        await asyncio.sleep(0.01)
+    return server._http.connections
