--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -358,7 +358,7 @@
 
 
 def test_connections_take_turns_however_many_requests_one_has_sent():
-    """Guards against a client that keeps the node from all others, and from its stop."""
+    """Guards against a client that keeps the node from others, and from its stop."""
 
     async def scenario():
         async with Server() as server:
